--- /dev/null
+++ b/devtools/disabled.py
@@ -0,0 +1,192 @@
+"""Starts a process with one mechanism taken away, to show what it is for.
+
+Used by proofs only: a promise must fail without its mechanism and hold with
+it. The product itself has no such switches.
+"""
+
+from __future__ import annotations
+
+import importlib
+import sys
+from typing import TYPE_CHECKING
+from typing import Any
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+def _no_records() -> None:
+    from shallotroad.agent import records
+
+    def find(*_: Any, **__: Any) -> None:
+        return None
+
+    records.IdempotencyRecords.find = find  # type: ignore[method-assign]
+
+
+def _no_incarnation() -> None:
+    from shallotroad.agent import records
+
+    original = records.IdempotencyRecords.find
+
+    def find(self: Any, key: Any, **arguments: Any) -> str | None:
+        here = key._replace(home=self._home, incarnation=self._incarnation)
+        return original(self, here, **arguments)
+
+    records.IdempotencyRecords.find = find  # type: ignore[method-assign]
+
+
+def _no_final_refusal() -> None:
+    from shallotroad.agent import records
+
+    def refuse(self: Any, key: Any, **_: Any) -> None:
+        self._records.pop(key.nonce, None)
+
+    records.IdempotencyRecords.refuse = refuse  # type: ignore[method-assign]
+
+
+def _no_resume() -> None:
+    from shallotroad.entry import peer
+    from shallotroad.entry.attempt import Loss
+
+    original = peer.AgentPeer._enter
+
+    def enter(self: Any, first: Any) -> None:
+        if self.incarnation:
+            self.lose_all(Loss.SILENT)
+        original(self, first)
+
+    peer.AgentPeer._enter = enter  # type: ignore[method-assign]
+
+
+def _no_continuation() -> None:
+    from shallotroad.entry import dispatcher
+
+    def keep(self: Any, progress: Any) -> None:
+        progress.body = progress.request.body
+
+    dispatcher.Dispatcher._continue_body = keep  # type: ignore[method-assign]
+
+
+def _no_silence_detection() -> None:
+    from shallotroad.entry import peer
+
+    peer.SILENT_HEARTBEATS = 1e6
+    peer.LOST_AFTER_S = 1e6
+
+
+def _no_peer_configuration() -> None:
+    from shallotroad.config import keeper
+    from shallotroad.entry import peer
+
+    async def ask(*_: Any, **__: Any) -> int:
+        return 0
+
+    def pull(self: Any) -> None:
+        return
+
+    keeper.ask_peers = ask
+    peer.AgentPeer._pull = pull  # type: ignore[method-assign]
+
+
+def _no_monotonic_revision() -> None:
+    from shallotroad.config import revision_log
+
+    original = revision_log.RevisionLog.adopt
+
+    def adopt(self: Any, delta: Any) -> bool:
+        if delta.revision != self.revision and delta.base == 0:
+            self.revision = 0
+        return original(self, delta)
+
+    revision_log.RevisionLog.adopt = adopt  # type: ignore[method-assign]
+
+
+def _no_agent_check() -> None:
+    from shallotroad.agent import authority
+
+    authority.check_offer = lambda *_, **__: None  # type: ignore[attr-defined]
+
+
+def _no_entry_check() -> None:
+    from shallotroad.config import fleet
+
+    fleet.Fleet.closed = lambda *_, **__: False  # type: ignore[method-assign]
+
+
+def _no_permits() -> None:
+    from shallotroad.agent import permits
+
+    permits.Permits.limit = property(lambda _: 1000)  # type: ignore[assignment, method-assign]
+
+
+def _no_turn() -> None:
+    from shallotroad.agent import queue
+
+    queue.WorkQueue.aged = lambda *_: None  # type: ignore[method-assign]
+
+
+def _no_tiers() -> None:
+    from shallotroad.agent import queue
+
+    original = queue.WorkQueue.push
+
+    def push(self: Any, item: Any) -> Any:
+        return original(self, item._replace(tier=0, due_s=item.since_s))
+
+    queue.WorkQueue.push = push  # type: ignore[method-assign]
+
+
+def _no_pause() -> None:
+    from shallotroad.agent import authority
+
+    authority.choose_victim = lambda *_: None  # type: ignore[attr-defined]
+
+
+def _no_poison() -> None:
+    from shallotroad.policy import suspects
+
+    suspects.Suspects.poisonous = lambda *_, **__: False  # type: ignore[method-assign]
+
+
+def _no_drain() -> None:
+    from shallotroad.agent import authority
+
+    async def drained(self: Any) -> None:
+        return
+
+    authority.Authority.drained = drained  # type: ignore[method-assign]
+
+
+MECHANISMS: dict[str, Callable[[], None]] = {
+    "records": _no_records,
+    "incarnation": _no_incarnation,
+    "final-refusal": _no_final_refusal,
+    "resume": _no_resume,
+    "continuation": _no_continuation,
+    "silence-detection": _no_silence_detection,
+    "peer-configuration": _no_peer_configuration,
+    "monotonic-revision": _no_monotonic_revision,
+    "agent-check": _no_agent_check,
+    "entry-check": _no_entry_check,
+    "permits": _no_permits,
+    "turn": _no_turn,
+    "tiers": _no_tiers,
+    "pause": _no_pause,
+    "poison": _no_poison,
+    "drain": _no_drain,
+}
+
+
+def main() -> None:
+    """Run ``MECHANISMS,... MODULE SETTINGS``."""
+    names, module, settings = sys.argv[1:4]
+    for name in names.split(","):
+        MECHANISMS[name]()
+    sys.argv = [module, settings]
+    importlib.import_module(module).main()
+
+
+if __name__ == "__main__":
+    main()
--- a/devtools/processes.py
+++ b/devtools/processes.py
@@ -70,9 +70,22 @@
 
 
 class LocalFleet:
-    """Every process of a small fleet on this machine."""
-
-    def __init__(self, *, log_level: str = "INFO", list_lag_s: float = 0.3) -> None:
+    """Every process of a small fleet on this machine.
+
+    Parameters
+    ----------
+    log_level : str
+        Level at which entries and agents log.
+    list_lag_s : float
+        How far the platform's instance list lags behind.
+    without : str
+        Mechanisms that entries and agents run without, joined by commas.
+    """
+
+    def __init__(
+        self, *, log_level: str = "INFO", list_lag_s: float = 0.3, without: str = ""
+    ) -> None:
+        self._without = without
         self._folder = tempfile.TemporaryDirectory(prefix="shallotroad-")
         self.folder = Path(self._folder.name)
         self.handles: dict[str, Handle] = {}
@@ -245,8 +258,9 @@
     ) -> Handle:
         path = self.folder / f"{name}.toml"
         path.write_text(_toml(settings))
-        code = f"from {module} import main; main()"
-        command = ["-c", code, str(path)]
+        command = ["-c", f"from {module} import main; main()", str(path)]
+        if self._without:
+            command = ["-m", "devtools.disabled", self._without, module, str(path)]
         return self._spawn(name, role, command, port, status_port)
 
     def list_instance(
--- a/src/shallotroad/agent/authority.py
+++ b/src/shallotroad/agent/authority.py
@@ -121,7 +121,8 @@
     @property
     def accepting(self) -> bool:
         """Whether new work may be offered here."""
-        return self.endpoint_up and not self.leaving and not self._was_closed
+        serving = self.endpoint_up and not self.leaving and not self._was_closed
+        return serving and self.log.fleet is not None
 
     def _on_fleet(self, fleet: Fleet) -> None:
         closed = fleet.closed(
@@ -158,18 +159,34 @@
         if refusal is not None:
             raise refusal
         try:
-            return self._admit(offer)
+            key = self._read_key(offer)
+            job = None if key is None else self._find_record(offer, key)
+            return job or self._admit(offer, key)
         except OfferRefusedError as error:
             self.jobs.remember_refusal(offer.attempt, error)
             self.count(refused=1)
             raise
 
-    def _admit(self, offer: Offer) -> Job:
-        key = self._read_key(offer)
-        if key is not None:
-            job = self._find_record(offer, key)
-            if job is not None:
-                return job
+    def _admit(self, offer: Offer, key: IdempotencyKey | None) -> Job:
+        try:
+            self._check_admission(offer)
+            return self._enqueue(offer, key)
+        except OfferRefusedError as error:
+            if key is not None and error.reason != peer_pb2.BEHIND:
+                self._refuse_key(key, offer, error)
+            raise
+
+    def _refuse_key(
+        self, key: IdempotencyKey, offer: Offer, error: OfferRefusedError
+    ) -> None:
+        try:
+            self.records.refuse(key, digest=offer.body_digest, refusal=error)
+        except rec.RecordsFullError as full:
+            raise OfferRefusedError(
+                reason=peer_pb2.KEY_EXPIRED, detail=str(full), retry_after_s=60.0
+            ) from None
+
+    def _check_admission(self, offer: Offer) -> None:
         check_offer(offer, fleet=self.log.fleet, place=self.place)
         self._check_state(offer)
         wait_s = expected_wait_s(
@@ -181,7 +198,6 @@
                 detail="it could not start in time",
                 retry_after_s=wait_s - offer.wait_budget_s,
             )
-        return self._enqueue(offer, key)
 
     def _read_key(self, offer: Offer) -> IdempotencyKey | None:
         if not offer.idempotency_key:
@@ -261,7 +277,7 @@
                 self.records.admit(key, attempt=job.attempt, digest=offer.body_digest)
             except rec.RecordsFullError as error:
                 raise OfferRefusedError(
-                    reason=peer_pb2.BUSY, detail=str(error), retry_after_s=60.0
+                    reason=peer_pb2.KEY_EXPIRED, detail=str(error)
                 ) from None
         self.jobs.add(job)
         shed = self.queue.push(
@@ -292,8 +308,11 @@
         error = OfferRefusedError(
             reason=reason, detail=detail, retry_after_s=self.service.mean_s
         )
+        self._refuse_job(job, error)
+
+    def _refuse_job(self, job: Job, error: OfferRefusedError) -> None:
         if job.key is not None:
-            self.records.withdraw(job.key, attempt=job.attempt)
+            self._refuse_key(job.key, job.offer, error)
         self.jobs.refuse(job, error)
         self.count(refused=1)
 
@@ -392,12 +411,10 @@
         if job.state is JobState.RUNNING:
             self.permits.release()
         self.queue.remove(job.attempt)
-        if job.key is not None:
-            self.records.withdraw(job.key, attempt=job.attempt)
         error = OfferRefusedError(
             reason=peer_pb2.BUSY, detail=detail, retry_after_s=1.0
         )
-        self.jobs.refuse(job, error)
+        self._refuse_job(job, error)
         self.schedule()
 
     def endpoint_lost(self) -> None:
--- a/src/shallotroad/agent/records.py
+++ b/src/shallotroad/agent/records.py
@@ -14,6 +14,7 @@
 
 
 if TYPE_CHECKING:
+    from shallotroad.agent.exceptions import OfferRefusedError
     from shallotroad.protocol.idempotency_key import IdempotencyKey
 
 MAXIMUM_RECORDS = 100_000
@@ -36,11 +37,15 @@
 
 
 class Record(NamedTuple):
-    """A call that was admitted once: the attempt that holds its answer."""
+    """The fate of a key: admitted as an attempt, or refused for good.
+
+    ``refusal`` holds what every later send of a refused key is told.
+    """
 
     attempt: str
     digest: str
     expires_at_s: float
+    refusal: OfferRefusedError | None = None
 
 
 class IdempotencyRecords:
@@ -62,7 +67,7 @@
         self._clock_s = max(self._clock_s, wall_s)
 
     def find(self, key: IdempotencyKey, *, digest: str, wall_s: float) -> str | None:
-        """Return the attempt that a key has already admitted, or None.
+        """Return the attempt that a key was admitted as, or None.
 
         Parameters
         ----------
@@ -77,6 +82,9 @@
         ------
         WrongHomeError, KeyExpiredError, KeyReusedError
             When the call must not be run for this key.
+        OfferRefusedError
+            When the key was refused before: a refusal is final, so that an
+            offer which comes late can't run behind a caller who was told so.
         """
         self._advance(wall_s)
         if (key.home, key.incarnation) != (self._home, self._incarnation):
@@ -86,6 +94,8 @@
             if record.digest != digest:
                 message = "the key was used for another request; ask for a new one"
                 raise KeyReusedError(message)
+            if record.refusal is not None:
+                raise record.refusal
             return record.attempt
         if key.expires_at_s <= self._clock_s:
             raise KeyExpiredError("the key has expired; ask for a new one")
@@ -99,17 +109,29 @@
         RecordsFullError
             When no record can be kept.
         """
+        self._make_room()
+        self._records[key.nonce] = Record(attempt, digest, key.expires_at_s)
+
+    def refuse(
+        self, key: IdempotencyKey, *, digest: str, refusal: OfferRefusedError
+    ) -> None:
+        """Refuse a key for good; provably nothing was run for it.
+
+        Raises
+        ------
+        RecordsFullError
+            When the refusal can't be kept, so that it must not be told.
+        """
+        record = Record("", digest, key.expires_at_s, refusal)
+        if key.nonce not in self._records:
+            self._make_room()
+        self._records[key.nonce] = record
+
+    def _make_room(self) -> None:
         if len(self._records) >= self._maximum:
             self._drop_expired()
         if len(self._records) >= self._maximum:
             raise RecordsFullError("no room for another record; send again later")
-        self._records[key.nonce] = Record(attempt, digest, key.expires_at_s)
-
-    def withdraw(self, key: IdempotencyKey, *, attempt: str) -> None:
-        """Forget an admission of which provably nothing was run."""
-        record = self._records.get(key.nonce)
-        if record is not None and record.attempt == attempt:
-            del self._records[key.nonce]
 
     def _drop_expired(self) -> None:
         live = self._records.items()
--- a/src/shallotroad/entry/api_errors.py
+++ b/src/shallotroad/entry/api_errors.py
@@ -29,9 +29,7 @@
     sends, so what it refuses on its own is of unknown outcome; the key's home
     alone can say that the call was not run.
     """
-    if isinstance(error, OutcomeUnknownError):
-        return UNKNOWN
-    if isinstance(error, BadRequestError) and keyed:
+    if keyed or isinstance(error, OutcomeUnknownError):
         return UNKNOWN
     return NOT_RUN
 
--- a/src/shallotroad/entry/dispatcher.py
+++ b/src/shallotroad/entry/dispatcher.py
@@ -139,7 +139,8 @@
             When it may have been run and its answer can't be had.
         """
         self._budget.earn()
-        self._check_poison(request)
+        if not request.idempotency_key:
+            self._check_poison(request)
         progress = Progress(request=request)
         while True:
             peer = await self._next_peer(progress)
@@ -205,6 +206,17 @@
             await asyncio.sleep(NO_CANDIDATE_GAP_S)
         raise self._no_peer_error(progress)
 
+    async def wait_for_peer(self, request: RoutedRequest) -> AgentPeer:
+        """Return the agent that would be offered a request, waiting a little.
+
+        Raises
+        ------
+        NotRunError
+            When there is none in time.
+        """
+        progress = Progress(request=request._replace(idempotency_key=""))
+        return await self._next_peer(progress)
+
     def _patience_s(self, progress: Progress) -> float:
         return min(NO_CANDIDATE_WAIT_S, progress.request.wait_budget_s)
 
@@ -213,7 +225,7 @@
             detail = "the answer broke off and no endpoint could go on with it"
             return OutcomeUnknownError(code="broken_off", detail=detail)
         if progress.refused is not None:
-            return error_of(progress.refused)
+            return error_of(progress.refused, keyed=False)
         return NotRunError(
             status=503,
             code="no_endpoint",
@@ -290,7 +302,7 @@
         if keyed or not may_run_elsewhere(refused):
             if progress.delivered or progress.reruns:
                 raise self._no_peer_error(progress)
-            raise error_of(refused)
+            raise error_of(refused, keyed=keyed)
 
     async def _judge_keyed(self, progress: Progress, item: Attempt) -> None:
         if item.lost is Loss.SILENT and progress.waited_s() < HOME_WAIT_S:
--- a/src/shallotroad/entry/factory.py
+++ b/src/shallotroad/entry/factory.py
@@ -133,7 +133,8 @@
             return "no configuration yet"
         if time.monotonic() < gateway.settled_s:
             return "woken up after a pause"
-        return "" if parts.peers.connected() else "no agent connected"
+        accepting = any(peer.load.accepting for peer in parts.peers.connected())
+        return "" if accepting else "no agent takes work"
 
     app = web.Application(client_max_size=parts.settings.limits.body_bytes)
     Handlers(gateway=gateway).add_routes(app)
--- a/src/shallotroad/entry/handlers.py
+++ b/src/shallotroad/entry/handlers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import hashlib
 import secrets
 import time
@@ -15,6 +16,7 @@
 from shallotroad.entry.api_errors import DONE
 from shallotroad.entry.api_errors import OUTCOME_HEADER
 from shallotroad.entry.api_errors import REQUEST_HEADER
+from shallotroad.entry.api_errors import RequestError
 from shallotroad.entry.api_errors import error_event
 from shallotroad.entry.api_errors import error_response
 from shallotroad.entry.api_errors import outcome_of
@@ -242,7 +244,7 @@
             body = await request.read()
             routed = service_request(team, service, request, body, name)
             if not routed.repeatable and not keyed:
-                return self._ask_for_key(team, service, name)
+                return await self._ask_for_key(team, service, name)
             if routed.repeatable:
                 self._gateway.check_limit(team)
         except ERRORS as error:
@@ -264,11 +266,10 @@
             await self._write_parts(stream, routed, parts)
             outcome, code = DONE, ""
         except ERRORS as error:
-            keyed = bool(routed.idempotency_key)
             outcome, code = outcome_of(error, keyed=False), error.code
             if stream.response is None:
-                return error_response(error, request_id=routed.request)
-            await stream.write(error_event(error, keyed=keyed))
+                return await self._refusal(request, routed, error)
+            await stream.write(error_event(error))
         except ConnectionError:
             logger.info("request {}: the caller has gone", routed.request)
         finally:
@@ -278,6 +279,18 @@
         await stream.close()
         return stream.response or web.Response(status=204)
 
+    async def _refusal(
+        self, request: web.Request, routed: RoutedRequest, error: RequestError
+    ) -> web.StreamResponse:
+        answer = error_response(error, request_id=routed.request)
+        if routed.idempotency_key and isinstance(error, NotRunError):
+            with contextlib.suppress(*ERRORS):
+                team = self._gateway.team_of(request)
+                service = classify.find_service(team, routed.target)
+                key = await self._new_key(team, service, routed.request)
+                answer.headers[KEY_HEADER] = key
+        return answer
+
     async def _write_parts(
         self, stream: CallerStream, routed: RoutedRequest, parts: AsyncIterator[Part]
     ) -> None:
@@ -298,7 +311,7 @@
             data: Any = await request.json()
             wanted = data.get("service", "") if isinstance(data, dict) else ""
             service = classify.find_service(team, str(wanted))
-            key = self._new_key(team, service, name)
+            key = await self._new_key(team, service, name)
         except ERRORS as error:
             return error_response(error, request_id=name)
         except ValueError:
@@ -308,7 +321,7 @@
             return error_response(malformed, request_id=name)
         return web.json_response({"idempotency_key": key})
 
-    def _new_key(self, team: Team, service: Service, name: str) -> str:
+    async def _new_key(self, team: Team, service: Service, name: str) -> str:
         probe = RoutedRequest(
             request=name,
             team=team.name,
@@ -329,14 +342,7 @@
             fingerprint="",
             digest="",
         )
-        peer = self._gateway.selector.select(probe, excluded=())
-        if peer is None:
-            raise NotRunError(
-                status=503,
-                code="no_endpoint",
-                detail="no endpoint can take this call now; ask again later",
-                retry_after_s=1.0,
-            )
+        peer = await self._gateway.dispatcher.wait_for_peer(probe)
         return issue_key(
             team=team.name,
             target=service.name,
@@ -346,7 +352,7 @@
             secret=self._gateway.fleet_key,
         )
 
-    def _ask_for_key(
+    async def _ask_for_key(
         self, team: Team, service: Service, name: str
     ) -> web.StreamResponse:
         self._gateway.check_limit(team)
@@ -359,7 +365,7 @@
             ),
         )
         answer = error_response(error, request_id=name)
-        answer.headers[KEY_HEADER] = self._new_key(team, service, name)
+        answer.headers[KEY_HEADER] = await self._new_key(team, service, name)
         return answer
 
     async def explain(self, request: web.Request) -> web.StreamResponse:
--- a/src/shallotroad/entry/peer.py
+++ b/src/shallotroad/entry/peer.py
@@ -178,7 +178,7 @@
     def _enter(self, first: Batch) -> None:
         hello = first.frames[0].hello
         if self.incarnation and hello.incarnation != self.incarnation:
-            self.lose_all(Loss.RESTARTED)
+            self._lose_sent()
             self._revoked.clear()
         self.incarnation = hello.incarnation
         self.serves = tuple(hello.serves)
@@ -327,6 +327,12 @@
             item.lose(reason)
         self.attempts.clear()
 
+    def _lose_sent(self) -> None:
+        for item in list(self.attempts.values()):
+            if item.sent or item.accepted:
+                item.lose(Loss.RESTARTED)
+                del self.attempts[item.attempt]
+
     def lose_silent(self, now_s: float) -> None:
         """Give attempts up when the agent was silent for too long."""
         silent_s = now_s - self._heard_s
--- a/src/shallotroad/entry/refusals.py
+++ b/src/shallotroad/entry/refusals.py
@@ -33,12 +33,13 @@
     peer_pb2.NOT_ALLOWED: Meaning(403, "not_allowed", True),
     peer_pb2.POISON: Meaning(422, "poison", False),
     peer_pb2.CANCELLED: Meaning(503, "cancelled", False),
-    peer_pb2.KEY_REUSED: Meaning(422, "key_reused", False),
 }
 UNKNOWN_REASONS = {
-    peer_pb2.WRONG_INCARNATION: "home_restarted",
-    peer_pb2.KEY_EXPIRED: "key_expired",
+    peer_pb2.WRONG_INCARNATION: Meaning(409, "home_restarted", False),
+    peer_pb2.KEY_EXPIRED: Meaning(409, "key_expired", False),
+    peer_pb2.KEY_REUSED: Meaning(422, "key_reused", False),
 }
+BEHIND_KEYED = Meaning(503, "configuration_behind", False)
 
 
 def may_run_elsewhere(refused: peer_pb2.Refused) -> bool:
@@ -47,15 +48,19 @@
     return meaning is not None and meaning.elsewhere
 
 
-def error_of(refused: peer_pb2.Refused) -> ShallotroadError:
+def error_of(refused: peer_pb2.Refused, *, keyed: bool) -> ShallotroadError:
     """Return the error that tells the caller of a refusal.
 
-    A refusal because of the key does not say what became of earlier sends, so
-    the outcome is unknown then.
+    A refusal because of the key, or one that the key's home does not keep,
+    does not say what became of earlier sends; the outcome is unknown then.
     """
-    code = UNKNOWN_REASONS.get(refused.reason)
-    if code is not None:
-        return OutcomeUnknownError(code=code, detail=refused.detail, status=409)
+    unknown = UNKNOWN_REASONS.get(refused.reason)
+    if keyed and refused.reason == peer_pb2.BEHIND:
+        unknown = BEHIND_KEYED
+    if unknown is not None:
+        return OutcomeUnknownError(
+            code=unknown.code, detail=refused.detail, status=unknown.status
+        )
     meaning = MEANINGS.get(refused.reason, Meaning(503, "refused", False))
     return NotRunError(
         status=meaning.status,
--- /dev/null
+++ b/tests/unit/test_records_machine.py
@@ -0,0 +1,98 @@
+from __future__ import annotations
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+
+from shallotroad.agent.exceptions import OfferRefusedError
+from shallotroad.agent.records import IdempotencyRecords
+from shallotroad.agent.records import KeyExpiredError
+from shallotroad.agent.records import KeyReusedError
+from shallotroad.agent.records import RecordsFullError
+from shallotroad.agent.records import WrongHomeError
+from shallotroad.protocol import peer_pb2
+from tests.builders import make_key
+
+
+NONCES = ("n1", "n2", "n3", "n4")
+LIFETIME_S = 100.0
+REFUSAL = OfferRefusedError(reason=peer_pb2.BUSY, detail="busy")
+
+
+class RecordsMachine(RuleBasedStateMachine):
+    """Drives the real records with the actions and invariants of the spec."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.wall_s = 0.0
+        self.incarnation = 0
+        self.records = self._fresh()
+        self.runs: dict[str, int] = {}
+        self.refused: set[str] = set()
+
+    def _fresh(self) -> IdempotencyRecords:
+        return IdempotencyRecords(
+            home="agent-1", incarnation=f"i{self.incarnation}", maximum=3
+        )
+
+    @rule(
+        nonce=st.sampled_from(NONCES),
+        incarnation=st.integers(0, 2),
+        home=st.sampled_from(("agent-1", "agent-2")),
+        digest=st.sampled_from(("d1", "d2")),
+        refuse=st.booleans(),
+    )
+    def deliver(
+        self, nonce: str, incarnation: int, home: str, digest: str, refuse: bool
+    ) -> None:
+        name = f"{nonce}:{incarnation}:{home}"
+        key = make_key(
+            nonce=name,
+            home=home,
+            incarnation=f"i{incarnation}",
+            expires_at_s=LIFETIME_S * (1 + int(nonce[1])),
+        )
+        try:
+            if self.records.find(key, digest=digest, wall_s=self.wall_s) is not None:
+                return
+            if refuse:
+                self.records.refuse(key, digest=digest, refusal=REFUSAL)
+                self.refused.add(name)
+            else:
+                self.records.admit(key, attempt="a", digest=digest)
+                self.runs[name] = self.runs.get(name, 0) + 1
+        except (WrongHomeError, KeyExpiredError, KeyReusedError, RecordsFullError):
+            return
+        except OfferRefusedError:
+            assert name in self.refused
+
+    @rule(step_s=st.floats(-150.0, 150.0))
+    def move_clock(self, step_s: float) -> None:
+        self.wall_s = max(0.0, self.wall_s + step_s)
+
+    @rule()
+    def sweep(self) -> None:
+        self.records.sweep(wall_s=self.wall_s)
+
+    @rule()
+    def crash(self) -> None:
+        self.incarnation += 1
+        self.records = self._fresh()
+
+    @invariant()
+    def runs_at_most_once(self) -> None:
+        assert all(count <= 1 for count in self.runs.values())
+
+    @invariant()
+    def refused_never_ran(self) -> None:
+        assert not self.refused & self.runs.keys()
+
+    @invariant()
+    def bounded(self) -> None:
+        assert len(self.records) <= 3
+
+
+RecordsMachine.TestCase.settings = settings(max_examples=150, stateful_step_count=40)
+TestRecords = RecordsMachine.TestCase
