--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	$(RUN) -m devtools.demo $(if $(KEEP),--keep)
 
 test: check
-	$(RUN) -m devtools.run_tests tests
+	$(RUN) -m devtools.run_tests tests -n 4
 
 check: $(STAMP)
 	$(RUN) -m ruff format --check .
@@ -31,6 +31,9 @@
 processes: $(STAMP)
 	$(RUN) -m pytest tests/processes
 
+spec: $(STAMP)
+	$(RUN) -m devtools.spec.check
+
 proto: $(POETRY)
 	$(POETRY) install --quiet --with generator
 	$(RUN) -m grpc_tools.protoc -I src --python_out=src --pyi_out=src src/shallotroad/protocol/peer.proto
--- a/devtools/disabled.py
+++ b/devtools/disabled.py
@@ -103,6 +103,12 @@
     revision_log.RevisionLog.adopt = adopt  # type: ignore[method-assign]
 
 
+def _no_long_watch() -> None:
+    from shallotroad.config import keeper
+
+    keeper.WATCH_S = 0.5
+
+
 def _no_agent_check() -> None:
     from shallotroad.agent import authority
 
@@ -168,6 +174,7 @@
     "silence-detection": _no_silence_detection,
     "peer-configuration": _no_peer_configuration,
     "monotonic-revision": _no_monotonic_revision,
+    "long-watch": _no_long_watch,
     "agent-check": _no_agent_check,
     "entry-check": _no_entry_check,
     "permits": _no_permits,
--- a/devtools/processes.py
+++ b/devtools/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import os
 import signal
@@ -12,14 +13,22 @@
 import time
 import urllib.request
 from pathlib import Path
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
 
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
 HOST = "127.0.0.1"
 FLEET_KEY = "development-fleet-key"
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
+FIRST_PORT = 12_000
+PORTS_PER_WORKER = 2_000
+WORKERS = 8
 READY_PATHS = {
     "platform": "/admin/stats",
     "engine": "/health",
@@ -43,11 +52,27 @@
     status_port: int
 
 
+def _port_range() -> Iterator[int]:
+    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
+    first = FIRST_PORT + PORTS_PER_WORKER * (int(worker) % WORKERS)
+    offset = os.getpid() % PORTS_PER_WORKER
+    for number in itertools.count(offset):
+        yield first + number % PORTS_PER_WORKER
+
+
+_PORTS = _port_range()
+
+
 def free_port() -> int:
-    """Return a port that was free just now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Return a free port below those that the system gives to clients."""
+    for port in _PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return port
+    raise ProcessFailedError("no free port")
 
 
 def http_json(url: str, data: Any = None, timeout_s: float = 5.0) -> Any:
@@ -310,6 +335,10 @@
         """Return the counters of an engine or service."""
         return http_json(f"http://{HOST}:{self.handles[name].port}/stats")
 
+    def stats_of_platform(self) -> Any:
+        """Return the counters of the platform stand-in."""
+        return http_json(f"{self.platform_url}/admin/stats")
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process."""
         self.handles[name].process.send_signal(number)
--- /dev/null
+++ b/tests/processes/test_configuration.py
@@ -0,0 +1,176 @@
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from typing import TYPE_CHECKING
+
+import pytest
+from devtools import sample_fleet as sample
+from devtools.sample_fleet import start_fleet
+
+from tests.helpers import entry_url
+from tests.helpers import eventually
+from tests.helpers import send_chat
+
+
+if TYPE_CHECKING:
+    from devtools.processes import LocalFleet
+
+
+IN_FORCE_S = 5.0
+ROUTERS = ("entry-1", "entry-2", "assistant-1", "assistant-2")
+
+
+def revisions(fleet: LocalFleet) -> list[int]:
+    return [fleet.dump(name)["revision"] for name in ROUTERS]
+
+
+async def in_force(fleet: LocalFleet, revision: int) -> None:
+    await eventually(
+        lambda: set(revisions(fleet)) == {revision},
+        timeout_s=IN_FORCE_S,
+        what=f"revision {revision} in force everywhere",
+    )
+
+
+@pytest.mark.parametrize("without", ["", "monotonic-revision"])
+async def test_stale_platform_reverts_nothing(without: str) -> None:
+    names = ",".join(filter(None, ("long-watch", without)))
+    fleet = start_fleet(engines=2, shops=0, without=names)
+    try:
+        await in_force(fleet, 1)
+        fleet.publish({"fleet": sample.fleet_value(closed_instances=["x"])})
+        await in_force(fleet, 2)
+        fleet.set_fault(stale_revision=1)
+        seen = set()
+        until_s = time.monotonic() + 4
+        while time.monotonic() < until_s:
+            seen |= set(revisions(fleet))
+            await asyncio.sleep(0.1)
+        fleet.set_fault()
+        fleet.publish({"fleet": sample.fleet_value()})
+        if not without:
+            await in_force(fleet, 3)
+    finally:
+        fleet.close()
+    assert (seen == {2}) == (not without)
+
+
+@pytest.mark.parametrize("without", ["", "peer-configuration"])
+async def test_all_but_one_restart_on_a_stale_platform(without: str) -> None:
+    fleet = start_fleet(engines=2, shops=0, without=without)
+    try:
+        fleet.publish({"fleet": sample.fleet_value(closed_instances=["x"])})
+        await eventually(
+            lambda: (
+                fleet.dump("assistant-1")["revision"] == 2
+                or bool(without and fleet.dump("entry-1")["revision"] == 2)
+            )
+        )
+        fleet.set_fault(stale_revision=1)
+        restart_entries_and_agent(fleet)
+        seen = set()
+        until_s = time.monotonic() + 3
+        while time.monotonic() < until_s:
+            seen |= {fleet.dump(f"entry-{n}")["revision"] for n in (1, 2)}
+            await asyncio.sleep(0.1)
+    finally:
+        fleet.close()
+    assert (seen == {2}) == (not without)
+
+
+def restart_entries_and_agent(fleet: LocalFleet) -> None:
+    """Restart every router but assistant-1 with no memory."""
+    for name in ("entry-1", "entry-2", "assistant-2"):
+        fleet.kill(name)
+    engine = fleet.handles["engine-2"]
+    fleet.start_agent("assistant-2", sample.DATA_CENTRES[0], engine, [sample.MODEL])
+    for name in ("entry-1", "entry-2"):
+        fleet.start_entry(name, sample.DATA_CENTRES[0], wait=False)
+    fleet.wait_all()
+
+
+async def test_platform_down_and_back() -> None:
+    fleet = start_fleet(engines=2, shops=0)
+    try:
+        await in_force(fleet, 1)
+        fleet.set_fault(down=True)
+        await asyncio.sleep(3)
+        served = await send_chat(entry_url(fleet), "down LENGTH=10")
+        before = revisions(fleet)
+        fleet.set_fault()
+        fleet.publish({"fleet": sample.fleet_value(closed_instances=["x"])})
+        await eventually(
+            lambda: set(revisions(fleet)) == {2},
+            timeout_s=14.0,
+            what="in force after an outage",
+        )
+    finally:
+        fleet.close()
+    assert served.outcome == "done"
+    assert before == [1, 1, 1, 1]
+
+
+async def test_invalid_revision_is_refused_whole() -> None:
+    fleet = start_fleet(engines=2, shops=0)
+    try:
+        await in_force(fleet, 1)
+        bad = json.loads(sample.team_value()["team/clinic"])
+        bad["classes"][0]["tier"] = 9
+        bad["limits"]["requests_per_s"] = "many"
+        bad["surprise"] = 1
+        fleet.publish({"team/clinic": json.dumps(bad), "fleet": sample.fleet_value()})
+        await eventually(lambda: bool(fleet.dump("entry-1")["refused_revisions"]))
+        refused = fleet.dump("entry-1")["refused_revisions"]
+        kept = revisions(fleet)
+        served = await send_chat(entry_url(fleet), "kept LENGTH=10")
+        fleet.publish(sample.team_value())
+        await in_force(fleet, 3)
+    finally:
+        fleet.close()
+    assert kept == [1, 1, 1, 1]
+    assert served.outcome == "done"
+    assert "requests_per_s" in str(refused)
+    assert "surprise" in str(refused)
+
+
+async def test_two_operators_race() -> None:
+    """Closed and reopened in quick turn: the last revision is in force."""
+    fleet = start_fleet(engines=2, shops=0)
+    try:
+        closed = sample.fleet_value(closed_data_centres=[sample.DATA_CENTRES[0]])
+        opened = sample.fleet_value()
+        await asyncio.gather(
+            *(
+                asyncio.to_thread(fleet.publish, {"fleet": value})
+                for value in (closed, opened) * 10
+            )
+        )
+        await in_force(fleet, 21)
+        last = revisions(fleet)
+    finally:
+        fleet.close()
+    assert set(last) == {21}
+
+
+async def test_platform_reads_are_bounded() -> None:
+    """Twelve entries of one data centre: two of them watch, all read the list."""
+    fleet = start_fleet(engines=1, shops=0, entries=0)
+    try:
+        for number in range(12):
+            fleet.start_entry(f"entry-{number}", sample.DATA_CENTRES[1], wait=False)
+        await asyncio.to_thread(fleet.wait_all)
+        await asyncio.sleep(2)
+        begun = fleet.stats_of_platform()["reads"]
+        changes = 5
+        for number in range(changes):
+            value = sample.fleet_value(closed_instances=[f"x{number}"])
+            fleet.publish({"fleet": value})
+            await asyncio.sleep(1)
+        reads = fleet.stats_of_platform()["reads"] - begun
+    finally:
+        fleet.close()
+    list_reads = 12 * changes / 0.75
+    watches = 2 * (changes + 2) * 2
+    assert reads <= list_reads + watches
