Admit by observed pace, prove admission, priority, limits and recovery

Cause: growth by first tokens alone let an endpoint that bears 2 when cold run 8 within a second, for its first tokens stay quick until it has collapsed; and entries that ask for leases of a team's limit at the same time overwrote each other's leases, so a burst within the limit was refused. Change: the limit grows by one after as many requests as it admits were served at a good pace, falls on late first tokens or slow tokens, waits twice as long after each fall, and what runs above the limit is paused. A team's limit has a home entry by rendezvous hashing; others lease from it, one ask at a time, and admit their even share when it is silent.

--- /dev/null
+++ b/devtools/bench/__main__.py
@@ -0,0 +1,120 @@
+"""The experiment command."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import click
+
+from devtools.bench.load import send_arrivals
+from devtools.bench.report import Measures
+from devtools.bench.report import measure
+from devtools.bench.report import plot
+from devtools.bench.report import table
+from devtools.bench.report import write_json
+from devtools.bench.scenarios import DURATION_S
+from devtools.bench.scenarios import ENGINES
+from devtools.bench.scenarios import POLICIES
+from devtools.bench.scenarios import SCENARIOS
+from devtools.bench.scenarios import Scenario
+from devtools.bench.workload import make_arrivals
+from devtools.processes import HOST
+from devtools.processes import LocalFleet
+from devtools.sample_fleet import start_fleet
+
+
+STEP_S = 0.02
+WARM_S = 2.0
+TIMEOUT_S = 60.0
+
+
+def _generated(fleet: LocalFleet) -> int:
+    names = [n for n, h in fleet.handles.items() if h.role == "engine"]
+    return sum(int(fleet.stats(name)["generated"]) for name in names)
+
+
+async def _warm(urls: list[str], seed: int) -> None:
+    arrivals = make_arrivals(seed=seed + 1000, duration_s=WARM_S, scale=2.0)
+    short = [a._replace(prompt="warm LENGTH=10", tokens=10) for a in arrivals]
+    await send_arrivals(urls, short, timeout_s=TIMEOUT_S)
+
+
+async def run_experiment(scenario: Scenario, policy: str, seed: int) -> Measures:
+    """Run one scenario under one policy on a fresh fleet."""
+    options = ("--step-s", str(STEP_S), *scenario.engine_options)
+    fleet = await asyncio.to_thread(
+        start_fleet,
+        engines=ENGINES,
+        shops=0,
+        engine_options=options,
+        without=POLICIES[policy],
+        log_level="WARNING",
+    )
+    try:
+        urls = [
+            f"http://{HOST}:{h.port}"
+            for h in fleet.handles.values()
+            if h.role == "entry"
+        ]
+        await _warm(urls, seed)
+        before = _generated(fleet)
+        arrivals = make_arrivals(
+            seed=seed,
+            duration_s=DURATION_S,
+            scale=scenario.scale,
+            burst=scenario.burst,
+            shared_prefixes=scenario.shared_prefixes,
+        )
+        async with asyncio.TaskGroup() as group:
+            if scenario.disturb is not None:
+                group.create_task(scenario.disturb(fleet))
+            load = group.create_task(send_arrivals(urls, arrivals, timeout_s=TIMEOUT_S))
+        generated = _generated(fleet) - before
+    finally:
+        await asyncio.to_thread(fleet.close)
+    return measure(
+        load.result(),
+        scenario=scenario.name,
+        policy=policy,
+        seed=seed,
+        generated=generated,
+        duration_s=DURATION_S,
+    )
+
+
+@click.command()
+@click.argument("names", nargs=-1, type=click.Choice(sorted(SCENARIOS)))
+@click.option(
+    "--policy",
+    "policies",
+    multiple=True,
+    type=click.Choice(list(POLICIES)),
+    help="Policy to run; all when none is named.",
+)
+@click.option("--seed", default=1, show_default=True)
+@click.option(
+    "--out",
+    type=click.Path(path_type=Path),
+    help="Folder for bench.json and bench.png.",
+)
+def main(
+    names: tuple[str, ...], policies: tuple[str, ...], seed: int, out: Path | None
+) -> None:
+    """Run scenarios NAMES (all when none is named), policies side by side."""
+    rows: list[Measures] = []
+    for name in names or tuple(SCENARIOS):
+        for policy in policies or tuple(POLICIES):
+            row = asyncio.run(run_experiment(SCENARIOS[name], policy, seed))
+            rows.append(row)
+            click.echo(table(rows).splitlines()[0 if len(rows) == 1 else -1])
+            if len(rows) == 1:
+                click.echo(table(rows).splitlines()[-1])
+    if out is not None:
+        out.mkdir(parents=True, exist_ok=True)
+        write_json(rows, out / "bench.json")
+        plot(rows, out / "bench.png")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/devtools/bench/report.py
@@ -0,0 +1,169 @@
+"""Measures of an experiment, as a table, JSON and a plot."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+
+    from devtools.bench.load import Result
+
+LONGEST_MS = 600_000
+DIGITS = 3
+
+
+class Measures(NamedTuple):
+    """What the users care about, for one scenario and policy.
+
+    ``attainment`` is by class, of all arrivals; ``goodput_per_s`` counts tokens
+    of whole answers that began in time; ``wasted`` counts tokens generated and
+    not delivered in a whole answer.
+    """
+
+    scenario: str
+    policy: str
+    seed: int
+    arrivals: int
+    attainment: dict[str, float]
+    first_token_p99_ms: dict[str, float]
+    goodput_per_s: float
+    wasted: int
+    refused: int
+    unknown: int
+    not_whole: int
+    fairness: float
+    longest_draft_wait_s: float
+
+
+def _met(result: Result) -> bool:
+    first_s = result.first_token_s
+    in_time = first_s is not None and first_s <= result.arrival.first_token_s
+    return in_time and result.outcome == "done"
+
+
+def _p99_ms(results: Sequence[Result]) -> float:
+    histogram = HdrHistogram(1, LONGEST_MS, DIGITS)
+    for result in results:
+        if result.first_token_s is not None:
+            histogram.record_value(max(1, int(result.first_token_s * 1000)))
+    return float(histogram.get_value_at_percentile(99))
+
+
+def _fairness(results: Sequence[Result]) -> float:
+    """Return Jain's index over the teams' shares of met requests."""
+    shares = []
+    for team in {result.team for result in results}:
+        own = [result for result in results if result.team == team]
+        shares.append(sum(map(_met, own)) / len(own))
+    squares = sum(share * share for share in shares)
+    return sum(shares) ** 2 / (len(shares) * squares) if squares else 0.0
+
+
+def measure(
+    results: Sequence[Result],
+    *,
+    scenario: str,
+    policy: str,
+    seed: int,
+    generated: int,
+    duration_s: float,
+) -> Measures:
+    """Return the measures of one experiment.
+
+    Parameters
+    ----------
+    results : sequence of Result
+        What each caller saw.
+    scenario, policy, seed
+        What was run.
+    generated : int
+        Tokens that all engines generated.
+    duration_s : float
+        Time in which requests arrived.
+    """
+    classes = sorted({result.arrival.request_class for result in results})
+    by_class = {
+        name: [r for r in results if r.arrival.request_class == name]
+        for name in classes
+    }
+    delivered = sum(result.tokens for result in results if result.whole)
+    good = sum(result.tokens for result in results if result.whole and _met(result))
+    drafts = by_class.get("draft", [])
+    waits = [r.first_token_s for r in drafts if r.first_token_s is not None]
+    return Measures(
+        scenario=scenario,
+        policy=policy,
+        seed=seed,
+        arrivals=len(results),
+        attainment={
+            n: sum(map(_met, rows)) / len(rows) for n, rows in by_class.items()
+        },
+        first_token_p99_ms={n: _p99_ms(rows) for n, rows in by_class.items()},
+        goodput_per_s=good / duration_s,
+        wasted=max(0, generated - delivered),
+        refused=sum(result.outcome == "not-run" for result in results),
+        unknown=sum(result.outcome == "unknown" for result in results),
+        not_whole=sum(r.outcome == "done" and not r.whole for r in results),
+        fairness=_fairness(results),
+        longest_draft_wait_s=max(waits, default=0.0),
+    )
+
+
+def table(rows: Sequence[Measures]) -> str:
+    """Return the measures as a text table."""
+    lines = [
+        f"{'scenario':<15}{'policy':<17}{'chat':>7}{'summary':>9}{'draft':>7}"
+        f"{'chat p99':>10}{'goodput':>9}{'wasted':>8}{'refused':>9}"
+        f"{'unknown':>9}{'not whole':>11}{'Jain':>6}{'longest':>9}"
+    ]
+    for row in rows:
+        met = row.attainment
+        lines.append(
+            f"{row.scenario:<15}{row.policy:<17}{met.get('chat', 0):>7.1%}"
+            f"{met.get('summary', 0):>9.1%}{met.get('draft', 0):>7.1%}"
+            f"{row.first_token_p99_ms.get('chat', 0):>8.0f}ms"
+            f"{row.goodput_per_s:>7.0f}/s{row.wasted:>8}{row.refused:>9}"
+            f"{row.unknown:>9}{row.not_whole:>11}{row.fairness:>6.2f}"
+            f"{row.longest_draft_wait_s:>8.1f}s"
+        )
+    return "\n".join(lines)
+
+
+def write_json(rows: Sequence[Measures], path: Path) -> None:
+    """Write the measures as JSON."""
+    path.write_text(json.dumps([row._asdict() for row in rows], indent=1) + "\n")
+
+
+def plot(rows: Sequence[Measures], path: Path) -> None:
+    """Plot chat attainment and goodput for each scenario and policy."""
+    import matplotlib as mpl
+
+    mpl.use("Agg")
+    from matplotlib import pyplot
+
+    scenarios = list(dict.fromkeys(row.scenario for row in rows))
+    policies = list(dict.fromkeys(row.policy for row in rows))
+    figure, axes = pyplot.subplots(2, 1, figsize=(10, 7))
+    width = 0.8 / len(policies)
+    for number, policy in enumerate(policies):
+        own: dict[str, Any] = {r.scenario: r for r in rows if r.policy == policy}
+        places = [x + number * width for x in range(len(scenarios))]
+        chat = [own[s].attainment["chat"] if s in own else 0 for s in scenarios]
+        good = [own[s].goodput_per_s if s in own else 0 for s in scenarios]
+        axes[0].bar(places, chat, width, label=policy)
+        axes[1].bar(places, good, width, label=policy)
+    axes[0].set_ylabel("chat first tokens in time")
+    axes[1].set_ylabel("goodput, tokens a second")
+    for axis in axes:
+        axis.set_xticks([x + 0.3 for x in range(len(scenarios))], scenarios)
+    axes[0].legend()
+    figure.tight_layout()
+    figure.savefig(path)
--- a/devtools/disabled.py
+++ b/devtools/disabled.py
@@ -127,6 +127,37 @@
     permits.Permits.limit = property(lambda _: 1000)  # type: ignore[assignment, method-assign]
 
 
+def _no_ramp() -> None:
+    from shallotroad.agent import permits
+
+    permits.Permits.limit = property(  # type: ignore[assignment, method-assign]
+        lambda self: self._maximum
+    )
+
+
+def _no_early_refusal() -> None:
+    from shallotroad.agent import authority
+
+    authority.expected_wait_s = lambda *_: 0.0  # type: ignore[attr-defined]
+
+
+def _choose(name: str) -> Callable[[], None]:
+    def disable() -> None:
+        from shallotroad.entry import selector
+        from shallotroad.policy import choice
+
+        choices = {
+            "round-robin": choice.make_round_robin(),
+            "least-in-flight": choice.choose_least_in_flight,
+            "two-random": choice.choose_two_random,
+        }
+        defaults = selector.Selector.__init__.__kwdefaults__
+        assert defaults is not None
+        defaults["choose"] = choices[name]
+
+    return disable
+
+
 def _no_turn() -> None:
     from shallotroad.agent import queue
 
@@ -178,6 +209,11 @@
     "agent-check": _no_agent_check,
     "entry-check": _no_entry_check,
     "permits": _no_permits,
+    "ramp": _no_ramp,
+    "early-refusal": _no_early_refusal,
+    "expected-start:round-robin": _choose("round-robin"),
+    "expected-start:least-in-flight": _choose("least-in-flight"),
+    "expected-start:two-random": _choose("two-random"),
     "turn": _no_turn,
     "tiers": _no_tiers,
     "pause": _no_pause,
--- a/devtools/processes.py
+++ b/devtools/processes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import itertools
+import fcntl
 import json
 import os
 import signal
@@ -11,24 +11,20 @@
 import sys
 import tempfile
 import time
+import tomllib
 import urllib.request
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import IO
 from typing import Any
 from typing import NamedTuple
 
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-
-
 HOST = "127.0.0.1"
 FLEET_KEY = "development-fleet-key"
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 FIRST_PORT = 12_000
-PORTS_PER_WORKER = 2_000
-WORKERS = 8
+LAST_PORT = 32_000
 READY_PATHS = {
     "platform": "/admin/stats",
     "engine": "/health",
@@ -52,25 +48,36 @@
     status_port: int
 
 
-def _port_range() -> Iterator[int]:
-    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
-    first = FIRST_PORT + PORTS_PER_WORKER * (int(worker) % WORKERS)
-    offset = os.getpid() % PORTS_PER_WORKER
-    for number in itertools.count(offset):
-        yield first + number % PORTS_PER_WORKER
+_reserved: list[IO[str]] = []
 
 
-_PORTS = _port_range()
+def _reserve(port: int) -> bool:
+    """Reserve a port against other tests for the life of this process."""
+    folder = Path(tempfile.gettempdir()) / "shallotroad-ports"
+    folder.mkdir(exist_ok=True)
+    lock = (folder / str(port)).open("w")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        with socket.socket() as probe:
+            probe.bind((HOST, port))
+    except OSError:
+        lock.close()
+        return False
+    _reserved.append(lock)
+    return True
 
 
 def free_port() -> int:
-    """Return a free port below those that the system gives to clients."""
-    for port in _PORTS:
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
+    """Return a port that no other test uses, below those given to clients.
+
+    Raises
+    ------
+    ProcessFailedError
+        When every port is taken.
+    """
+    first = FIRST_PORT + len(_reserved)
+    for port in range(first, LAST_PORT):
+        if _reserve(port):
             return port
     raise ProcessFailedError("no free port")
 
@@ -280,9 +287,33 @@
         settings: dict[str, dict[str, Any]],
         port: int,
         status_port: int,
+    ) -> Handle:
+        return self._spawn_settings(
+            name, role, module, _toml(settings), port, status_port
+        )
+
+    def start_from_text(self, name: str, role: str, settings: str) -> Handle:
+        """Start an entry or agent with settings in TOML, without waiting."""
+        tables = tomllib.loads(settings)
+        if role == "entry":
+            port = status_port = tables["callers"]["port"]
+        else:
+            port = tables["listen"]["port"]
+            status_port = tables["status"]["port"]
+        module = f"shallotroad.{role}.main"
+        return self._spawn_settings(name, role, module, settings, port, status_port)
+
+    def _spawn_settings(
+        self,
+        name: str,
+        role: str,
+        module: str,
+        settings: str,
+        port: int,
+        status_port: int,
     ) -> Handle:
         path = self.folder / f"{name}.toml"
-        path.write_text(_toml(settings))
+        path.write_text(settings)
         command = ["-c", f"from {module} import main; main()", str(path)]
         if self._without:
             command = ["-m", "devtools.disabled", self._without, module, str(path)]
--- a/src/shallotroad/agent/authority.py
+++ b/src/shallotroad/agent/authority.py
@@ -43,6 +43,13 @@
 PROBE_S = 0.5
 
 
+class Pace(NamedTuple):
+    """Chunks of the running streams at one time, to learn their pace."""
+
+    chunks: dict[str, int]
+    now_s: float
+
+
 class Counters(NamedTuple):
     """Totals since the start of the process."""
 
@@ -105,6 +112,7 @@
         self.changed = asyncio.Event()
         self._fleet_key = fleet_key
         self._was_closed = False
+        self._pace = Pace({}, 0.0)
         log.on_change(self._on_fleet)
 
     def count(self, **increments: int) -> None:
@@ -333,7 +341,8 @@
                 self.queue.take(choice.waiting)
                 self._start(choice.waiting, turn=choice.turn)
             elif not self._make_room():
-                return
+                break
+        self._relieve()
 
     def _make_room(self) -> bool:
         head = self.queue.head()
@@ -345,8 +354,32 @@
         self._pause(victim)
         return True
 
+    def _relieve(self) -> None:
+        """Pause what runs above the limit, after the endpoint has turned cold."""
+        if self.endpoint.kind != "engine":
+            return
+        while self.permits.running > self.permits.limit:
+            pausable = [job for job in self.running() if job.pausable]
+            if not pausable:
+                return
+            self._pause(max(pausable, key=lambda j: (j.offer.tier, j.started_s)))
+
+    def _observe_gap(self, now_s: float) -> None:
+        streams = {
+            job.attempt: len(job.answer.chunks)
+            for job in self.running()
+            if job.answer.chunks
+        }
+        before, self._pace = self._pace, Pace(streams, now_s)
+        both = streams.keys() & before.chunks.keys()
+        if both:
+            made = sum(streams[name] - before.chunks[name] for name in both)
+            span_s = (now_s - before.now_s) * len(both)
+            self.permits.observe_gap(span_s / max(1, made), now_s=now_s)
+
     def _pause(self, job: Job) -> None:
         job.state = JobState.PAUSED
+        job.paused_once = True
         self.permits.release()
         self.count(paused=1)
         now_s = time.monotonic()
@@ -480,6 +513,7 @@
                 abandoned = job.abandon_s is not None and job.abandon_s < now_s
                 if abandoned and job.watchers == 0:
                     self.cancel(job.attempt)
+            self._observe_gap(now_s)
             self.jobs.trim()
             self.records.sweep(wall_s=time.time())
             self.schedule()
--- a/src/shallotroad/agent/job.py
+++ b/src/shallotroad/agent/job.py
@@ -47,6 +47,7 @@
         self.started_s = 0.0
         self.ended_s = 0.0
         self.turn = False
+        self.paused_once = False
         self.watchers = 0
         self.abandon_s: float | None = None
         self.task: asyncio.Task[None] | None = None
--- a/src/shallotroad/agent/permits.py
+++ b/src/shallotroad/agent/permits.py
@@ -9,7 +9,10 @@
 COLD_MINIMUM_S = 0.25
 SLOW_RATIO = 2.0
 BASELINE_WEIGHT = 0.1
-HOLD_S = 2.0
+HOLD_FIRST_S = 2.0
+HOLD_LAST_S = 16.0
+SLOW_SHRINK = 0.8
+CALM_S = 30.0
 
 
 class PermitState(NamedTuple):
@@ -25,9 +28,11 @@
 class Permits:
     """Permits of one endpoint: a floor at start, then growth by good service.
 
-    The limit grows by one for every good first token that came while all
-    permits were in use, shrinks when first tokens are slow, and falls to the
-    floor when one is so late that the endpoint must have turned cold.
+    The limit grows by one after as many requests as it admits were served at a
+    good pace while all permits were in use. It shrinks when first tokens are
+    slow, and falls to the floor when a first token or the time between tokens
+    is so late that the endpoint must have turned cold. After each fall growth
+    waits twice as long, until the endpoint has been calm for ``CALM_S``.
     """
 
     def __init__(self, *, floor: int, maximum: int) -> None:
@@ -35,7 +40,10 @@
         self._maximum = maximum
         self._limit = float(self._floor)
         self._baseline_s = 0.0
+        self._gap_s = 0.0
+        self._hold_s = HOLD_FIRST_S
         self._hold_until_s = 0.0
+        self._fell_s = float("-inf")
         self._collapses = 0
         self.running = 0
 
@@ -69,10 +77,33 @@
 
     def restart(self, *, now_s: float) -> None:
         """Fall to the floor: the endpoint has started, reopened or crashed."""
-        if self.limit > self._floor:
-            self._collapses += 1
         self._limit = float(self._floor)
-        self._hold_until_s = now_s + HOLD_S
+        self._hold_s = HOLD_FIRST_S
+        self._hold_until_s = now_s + HOLD_FIRST_S
+
+    def _fall(self, now_s: float) -> None:
+        calm = now_s - self._fell_s > CALM_S
+        doubled_s = min(HOLD_LAST_S, self._hold_s * 2)
+        self._hold_s = HOLD_FIRST_S if calm else doubled_s
+        self._fell_s = now_s
+        self._collapses += 1
+        self._limit = float(self._floor)
+        self._hold_until_s = now_s + self._hold_s
+
+    def observe_gap(self, gap_s: float, *, now_s: float) -> None:
+        """Learn from the mean time between tokens over all running requests."""
+        baseline_s = self._gap_s or gap_s
+        if gap_s > COLD_RATIO * baseline_s and self.limit > self._floor:
+            self._fall(now_s)
+
+    def observe_pace(self, gap_s: float, *, now_s: float) -> None:
+        """Learn from the mean time between the tokens of one served request."""
+        baseline_s = self._gap_s or gap_s
+        if gap_s > SLOW_RATIO * baseline_s:
+            self.observe_gap(gap_s, now_s=now_s)
+            return
+        self._gap_s = baseline_s + BASELINE_WEIGHT * (gap_s - baseline_s)
+        self._grow(now_s)
 
     def observe_whole(self, *, now_s: float) -> None:
         """Learn from an answer that came as a whole: growth, no collapse."""
@@ -81,7 +112,8 @@
     def _grow(self, now_s: float) -> None:
         in_use = self.running >= self.limit - 1
         if in_use and now_s >= self._hold_until_s:
-            self._limit = min(float(self._maximum), self._limit + 1.0)
+            grown = self._limit + 1.0 / self._limit
+            self._limit = min(float(self._maximum), grown)
 
     def observe_first_token(self, first_token_s: float, *, now_s: float) -> None:
         """Learn from one first token.
@@ -96,11 +128,11 @@
         baseline_s = self._baseline_s or first_token_s
         cold_s = max(COLD_MINIMUM_S, COLD_RATIO * baseline_s)
         if first_token_s > cold_s:
-            self.restart(now_s=now_s)
+            if self.limit > self._floor:
+                self._fall(now_s)
             return
         if first_token_s > max(COLD_MINIMUM_S, SLOW_RATIO * baseline_s):
-            self._limit = max(float(self._floor), self._limit * 0.8)
+            self._limit = max(float(self._floor), self._limit * SLOW_SHRINK)
             return
         change_s = first_token_s - baseline_s
         self._baseline_s = baseline_s + BASELINE_WEIGHT * change_s
-        self._grow(now_s)
--- a/src/shallotroad/agent/runner.py
+++ b/src/shallotroad/agent/runner.py
@@ -21,18 +21,51 @@
     from shallotroad.agent.authority import Authority
     from shallotroad.agent.job import Job
 
+PACE_CHUNKS = 16
+PACE_CHUNKS_LEAST = 4
+
+
+class JobPace:
+    """Tells the permits how fast one streamed job is served."""
+
+    def __init__(self, *, authority: Authority, job: Job) -> None:
+        self._permits = authority.permits
+        self._job = job
+        self._first_s = 0.0
+        self._count = 0
+        self._told = False
+
+    def note(self) -> None:
+        """Note a chunk."""
+        self._count += 1
+        if self._count == 1:
+            self._first_s = time.monotonic()
+            taken_s = self._first_s - self._job.started_s
+            self._permits.observe_first_token(taken_s, now_s=self._first_s)
+        elif self._count == PACE_CHUNKS:
+            self._tell()
+
+    def end(self) -> None:
+        """Note the end of a job that was too short to be judged before."""
+        if not self._told and self._count >= PACE_CHUNKS_LEAST:
+            self._tell()
+
+    def _tell(self) -> None:
+        self._told = True
+        if self._job.paused_once:
+            return
+        now_s = time.monotonic()
+        gap_s = (now_s - self._first_s) / (self._count - 1)
+        self._permits.observe_pace(gap_s, now_s=now_s)
+
 
 async def run_job(authority: Authority, job: Job) -> None:
     """Run a job to its end and report the outcome to the authority."""
-    first = True
+    pace = JobPace(authority=authority, job=job)
 
     def on_chunk(data: bytes) -> None:
-        nonlocal first
-        if first and job.offer.streamed:
-            now_s = time.monotonic()
-            taken_s = now_s - job.started_s
-            authority.permits.observe_first_token(taken_s, now_s=now_s)
-        first = False
+        if job.offer.streamed:
+            pace.note()
         job.answer.append(data)
 
     def is_paused() -> bool:
@@ -53,6 +86,7 @@
         detail = f"no whole answer within {job.offer.run_budget_s} s"
         authority.finish(job, Ending(peer_pb2.FAILED, detail))
     else:
+        pace.end()
         _end_whole(authority, job)
 
 
--- /dev/null
+++ b/src/shallotroad/config/diff.py
@@ -0,0 +1,73 @@
+"""What changes for whom between two configurations, in words."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from shallotroad.config.fleet import Fleet
+    from shallotroad.config.fleet import Team
+
+HIDDEN_FIELDS = frozenset({"keys_sha256"})
+
+
+def _names(before: Sequence[str], after: Sequence[str], what: str) -> list[str]:
+    lines = [f"{what}: {name} added" for name in after if name not in before]
+    return lines + [f"{what}: {name} removed" for name in before if name not in after]
+
+
+def _taken_out(before: Fleet, after: Fleet) -> list[str]:
+    lines = []
+    pairs = (
+        ("data centre", "closed_data_centres"),
+        ("instance", "closed_instances"),
+    )
+    for what, field in pairs:
+        old = getattr(before.value, field)
+        new = getattr(after.value, field)
+        lines += [f"{what} {n} is taken out of service" for n in new if n not in old]
+        lines += [f"{what} {n} goes back into service" for n in old if n not in new]
+    return lines
+
+
+def _fields(place: str, before: Any, after: Any) -> list[str]:
+    lines = []
+    for field in before._fields:
+        old, new = getattr(before, field), getattr(after, field)
+        if old == new:
+            continue
+        if field in HIDDEN_FIELDS:
+            lines.append(f"{place}: {field} changes")
+        elif hasattr(old, "_fields"):
+            lines += _fields(f"{place} {field}", old, new)
+        elif field in ("classes", "services"):
+            lines += _rows(f"{place} {field}", old, new)
+        else:
+            lines.append(f"{place}: {field} changes from {old!r} to {new!r}")
+    return lines
+
+
+def _rows(place: str, before: Sequence[Any], after: Sequence[Any]) -> list[str]:
+    old = {row.name: row for row in before}
+    new = {row.name: row for row in after}
+    lines = _names(list(old), list(new), place)
+    for name in old.keys() & new.keys():
+        lines += _fields(f"{place}.{name}", old[name], new[name])
+    return lines
+
+
+def diff_fleets(before: Fleet, after: Fleet) -> list[str]:
+    """Return one sentence for each change, teams in order of their names."""
+    lines = _taken_out(before, after)
+    for field in ("data_centres", "models", "services"):
+        old, new = getattr(before.value, field), getattr(after.value, field)
+        lines += _names(old, new, field)
+    lines += _names(sorted(before.teams), sorted(after.teams), "team")
+    for name in sorted(before.teams.keys() & after.teams.keys()):
+        team: Team = before.teams[name]
+        lines += _fields(f"team {name}", team, after.teams[name])
+    return lines
--- a/src/shallotroad/console/application.py
+++ b/src/shallotroad/console/application.py
@@ -5,9 +5,32 @@
 import click
 
 from shallotroad import __version__
+from shallotroad.console.commands.config_check import check
+from shallotroad.console.commands.config_diff import diff
+from shallotroad.console.commands.config_render import render
+from shallotroad.console.commands.dump import dump
+from shallotroad.console.commands.explain import explain
+from shallotroad.console.commands.fleet import fleet
 
 
 @click.group()
 @click.version_option(__version__)
 def main() -> None:
-    """Check configurations and look into a running fleet."""
+    """Check configurations and look into a running fleet.
+
+    Exit codes: 0 all well; 1 a process could not be reached or refused;
+    2 findings in a configuration, or wrong arguments.
+    """
+
+
+@main.group()
+def config() -> None:
+    """Work on a configuration folder, without any running process."""
+
+
+config.add_command(check)
+config.add_command(render)
+config.add_command(diff)
+main.add_command(dump)
+main.add_command(explain)
+main.add_command(fleet)
--- /dev/null
+++ b/src/shallotroad/console/commands/config_diff.py
@@ -0,0 +1,20 @@
+"""``shallotroad config diff``."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+
+from shallotroad.config.diff import diff_fleets
+from shallotroad.console.folder_argument import folder_or_exit
+
+
+@click.command()
+@click.argument("before", type=click.Path(path_type=Path))
+@click.argument("after", type=click.Path(path_type=Path))
+def diff(before: Path, after: Path) -> None:
+    """Print what changes for whom between the folders BEFORE and AFTER."""
+    lines = diff_fleets(folder_or_exit(before).fleet, folder_or_exit(after).fleet)
+    for line in lines or ["nothing changes"]:
+        click.echo(line)
--- /dev/null
+++ b/src/shallotroad/console/folder_argument.py
@@ -0,0 +1,29 @@
+"""Reading of a configuration folder for a command."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+import click
+
+from shallotroad.config.exceptions import ConfigInvalidError
+from shallotroad.config.folder import read_folder
+from shallotroad.console.run_process import EXIT_INVALID
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from shallotroad.config.folder import Folder
+
+
+def folder_or_exit(path: Path) -> Folder:
+    """Return a folder, or print every finding and exit with 2."""
+    try:
+        return read_folder(path)
+    except ConfigInvalidError as error:
+        for line in error.lines():
+            click.echo(line, err=True)
+        click.echo(f"{len(error.exceptions)} findings", err=True)
+        sys.exit(EXIT_INVALID)
--- a/src/shallotroad/entry/factory.py
+++ b/src/shallotroad/entry/factory.py
@@ -37,6 +37,7 @@
 
 
 if TYPE_CHECKING:
+    from shallotroad.config.fleet import Limits
     from shallotroad.config.settings import EntrySettings
 
 INCARNATION_BYTES = 8
@@ -60,6 +61,12 @@
     registry: Registry
 
 
+def limits_of(log: RevisionLog, team: str) -> Limits | None:
+    """Return the limits of a team in the accepted configuration."""
+    found = log.fleet.teams.get(team) if log.fleet is not None else None
+    return None if found is None else found.limits
+
+
 def wire_entry(settings: EntrySettings) -> Parts:
     """Make the parts of an entry from its settings."""
     log = RevisionLog()
@@ -96,7 +103,12 @@
     gateway = Gateway(
         log=log,
         limits=settings.limits,
-        team_limits=TeamLimits(share=lambda _: 1.0 / max(1, len(directory.entries()))),
+        team_limits=TeamLimits(
+            name=process.name,
+            entries=directory.entries,
+            limits_of=lambda team: limits_of(log, team),
+            fleet_key=settings.security.fleet_key,
+        ),
         dispatcher=dispatcher,
         selector=selector,
         peers=peers,
@@ -178,8 +190,8 @@
     parts = wire_entry(settings)
     log = parts.log
     server = make_server(
-        session=None,
         pull=lambda request: to_message(log.since(request.since)),
+        take=parts.gateway.team_limits.grant,
         fleet_key=settings.security.fleet_key,
     )
     server.add_insecure_port(f"{settings.peers.host}:{settings.peers.port}")
@@ -213,5 +225,6 @@
     for task in tasks:
         task.cancel()
     parts.peers.close()
+    await parts.gateway.team_limits.close()
     await server.stop(GRACE_S)
     await parts.platform.close()
--- a/src/shallotroad/entry/gateway.py
+++ b/src/shallotroad/entry/gateway.py
@@ -78,7 +78,7 @@
         """
         return authenticate(request.headers.get("Authorization", ""), self.fleet())
 
-    def check_limit(self, team: Team) -> None:
+    async def check_limit(self, team: Team) -> None:
         """Count a request against the limit of its team.
 
         Raises
@@ -86,7 +86,7 @@
         NotRunError
             When the team is over its limit.
         """
-        wait_s = self.team_limits.take(team.name, team.limits)
+        wait_s = await self.team_limits.take(team.name, team.limits)
         if wait_s > 0:
             raise NotRunError(
                 status=429,
--- a/src/shallotroad/entry/handlers.py
+++ b/src/shallotroad/entry/handlers.py
@@ -193,7 +193,7 @@
             chat = classify.read_chat(body)
             asked = request.headers.get(CLASS_HEADER, "")
             item = classify.choose_class(team, chat, asked)
-            self._gateway.check_limit(team)
+            await self._gateway.check_limit(team)
         except ERRORS as error:
             return error_response(error, request_id=name)
         routed = chat_request(team, item, chat, body, name)
@@ -246,7 +246,7 @@
             if not routed.repeatable and not keyed:
                 return await self._ask_for_key(team, service, name)
             if routed.repeatable:
-                self._gateway.check_limit(team)
+                await self._gateway.check_limit(team)
         except ERRORS as error:
             return error_response(error, request_id=name, keyed=keyed)
         parts = self._gateway.dispatcher.run(routed)
@@ -355,7 +355,7 @@
     async def _ask_for_key(
         self, team: Team, service: Service, name: str
     ) -> web.StreamResponse:
-        self._gateway.check_limit(team)
+        await self._gateway.check_limit(team)
         error = NotRunError(
             status=428,
             code="idempotency_key_required",
--- a/src/shallotroad/entry/team_limits.py
+++ b/src/shallotroad/entry/team_limits.py
@@ -1,58 +1,212 @@
-"""Request limits of teams, shared by all entries without shared state."""
+"""Request limits of teams over all entries, without shared state.
+
+Rendezvous hashing over the instance list makes one entry the home of each
+team's limit. The others lease requests from it, as many as they expect to need
+within the lease. An entry that its home does not answer admits its even share
+of the limit by itself, so that all entries together admit less than twice the
+limit, also in a partition.
+"""
 
 from __future__ import annotations
 
+import asyncio
+import hashlib
+import math
 import time
 from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+import grpc.aio
+
+from shallotroad.entry.token_bucket import TokenBucket
+from shallotroad.protocol.peer_pb2 import TakeReply
+from shallotroad.protocol.peer_pb2 import TakeRequest
+from shallotroad.protocol.rpc import open_channel
+from shallotroad.protocol.rpc import take_requests
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from shallotroad.config.fleet import Limits
+    from shallotroad.platform.client import Instance
 
+LEASE_S = 1.0
+LEASE_MOST = 64
+HOME_TIMEOUT_S = 0.25
+HOME_SILENT_S = 2.0
+DEMAND_WEIGHT = 0.3
 
-class TokenBucket:
-    """A bucket that fills at a rate up to a burst; one token a request."""
 
-    def __init__(self, *, burst: float, now_s: float) -> None:
-        self._tokens = burst
-        self._filled_s = now_s
+class Lease(NamedTuple):
+    """Requests that the home has granted, until ``until_s`` (monotonic)."""
 
-    def take(self, *, per_s: float, burst: float, now_s: float) -> float:
-        """Take a token; return 0, or the seconds until there is one."""
-        grown = (now_s - self._filled_s) * per_s
-        self._tokens = min(burst, self._tokens + grown)
-        self._filled_s = now_s
-        if self._tokens >= 1.0:
-            self._tokens -= 1.0
-            return 0.0
-        return (1.0 - self._tokens) / per_s
+    left: int
+    until_s: float
+
+
+class Demand:
+    """The rate at which a team's requests come to this entry."""
+
+    def __init__(self) -> None:
+        self._last_s: float | None = None
+        self._gap_s = math.inf
+
+    def note(self, now_s: float) -> int:
+        """Note a request; return how many to lease."""
+        if self._last_s is not None:
+            gap_s = max(1e-4, now_s - self._last_s)
+            known = math.isfinite(self._gap_s)
+            before_s = self._gap_s if known else gap_s
+            self._gap_s = before_s + DEMAND_WEIGHT * (gap_s - before_s)
+        self._last_s = now_s
+        return max(1, min(LEASE_MOST, int(LEASE_S / self._gap_s)))
+
+
+def home_of(team: str, entries: Sequence[Instance]) -> Instance | None:
+    """Return the entry that is the home of a team's limit."""
+
+    def weight(row: Instance) -> bytes:
+        return hashlib.sha256(f"limit:{team}:{row.name}".encode()).digest()
+
+    return min(entries, key=weight, default=None)
 
 
 class TeamLimits:
-    """One bucket for each team, with this entry's share of the limit.
+    """Leases and buckets of one entry, and those it is the home of.
 
-    ``share`` returns the part of the fleet's limit that this entry may admit.
+    Parameters
+    ----------
+    name : str
+        This entry's name in the instance list.
+    entries : Callable
+        Returns the live entries of the instance list.
+    limits_of : Callable
+        Returns a team's limits in force, or None for an unknown team.
+    fleet_key : str
+        Secret that the home asks for.
+    clock : Callable
+        Monotonic time in seconds.
     """
 
     def __init__(
         self,
         *,
-        share: Callable[[str], float],
+        name: str,
+        entries: Callable[[], Sequence[Instance]],
+        limits_of: Callable[[str], Limits | None],
+        fleet_key: str,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self._share = share
+        self._name = name
+        self._entries = entries
+        self._limits_of = limits_of
+        self._fleet_key = fleet_key
         self._clock = clock
-        self._buckets: dict[str, TokenBucket] = {}
+        self._leases: dict[str, Lease] = {}
+        self._demand: dict[str, Demand] = {}
+        self._asking: dict[str, asyncio.Lock] = {}
+        self._own: dict[str, TokenBucket] = {}
+        self._shares: dict[str, TokenBucket] = {}
+        self._silent_until_s: dict[str, float] = {}
+        self._channels: dict[str, grpc.aio.Channel] = {}
 
-    def take(self, team: str, limits: Limits) -> float:
+    async def take(self, team: str, limits: Limits) -> float:
         """Admit a request; return 0, or the seconds after which to retry."""
-        share = self._share(team)
+        wanted = self._demand.setdefault(team, Demand()).note(self._clock())
+        if self._take_leased(team):
+            return 0.0
+        async with self._asking.setdefault(team, asyncio.Lock()):
+            if self._take_leased(team):
+                return 0.0
+            most = max(1, int(limits.requests_per_s * LEASE_S / 2))
+            return await self._renew(team, min(wanted, most), limits)
+
+    def _take_leased(self, team: str) -> bool:
+        lease = self._leases.get(team)
+        if lease is None or lease.left == 0 or self._clock() >= lease.until_s:
+            return False
+        self._leases[team] = lease._replace(left=lease.left - 1)
+        return True
+
+    async def _renew(self, team: str, wanted: int, limits: Limits) -> float:
+        now_s = self._clock()
+        home = home_of(team, self._entries())
+        if home is None or home.name == self._name:
+            reply = self._grant(team, 1, limits)
+        elif now_s < self._silent_until_s.get(home.address, 0.0):
+            reply = self._take_share(team, limits)
+        else:
+            reply = await self._ask(home, team, wanted, limits)
+        if reply.granted == 0:
+            return max(0.001, reply.retry_after_s)
+        until_s = self._clock() + LEASE_S
+        self._leases[team] = Lease(reply.granted - 1, until_s)
+        return 0.0
+
+    async def _ask(
+        self, home: Instance, team: str, wanted: int, limits: Limits
+    ) -> TakeReply:
+        channel = self._channels.get(home.address)
+        if channel is None:
+            channel = self._channels[home.address] = open_channel(home.address)
+        try:
+            return await take_requests(
+                channel,
+                TakeRequest(team=team, wanted=wanted),
+                fleet_key=self._fleet_key,
+                timeout_s=HOME_TIMEOUT_S,
+            )
+        except grpc.aio.AioRpcError:
+            await self._forget_home(home.address)
+            return self._take_share(team, limits)
+
+    async def _forget_home(self, address: str) -> None:
+        self._silent_until_s[address] = self._clock() + HOME_SILENT_S
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            await channel.close()
+
+    def _take_share(self, team: str, limits: Limits) -> TakeReply:
+        share = 1.0 / max(1, len(self._entries()))
         per_s = limits.requests_per_s * share
         burst = max(1.0, limits.burst_requests * share)
+        return self._take_from(self._shares, team, 1, per_s=per_s, burst=burst)
+
+    def _take_from(
+        self,
+        buckets: dict[str, TokenBucket],
+        team: str,
+        wanted: int,
+        *,
+        per_s: float,
+        burst: float,
+    ) -> TakeReply:
         now_s = self._clock()
-        bucket = self._buckets.get(team)
+        bucket = buckets.get(team)
         if bucket is None:
-            bucket = self._buckets[team] = TokenBucket(burst=burst, now_s=now_s)
-        return bucket.take(per_s=per_s, burst=burst, now_s=now_s)
+            bucket = buckets[team] = TokenBucket(tokens=burst, now_s=now_s)
+        granted = bucket.take(wanted, per_s=per_s, burst=burst, now_s=now_s)
+        return TakeReply(granted=granted, retry_after_s=bucket.next_s(per_s))
+
+    def _grant(self, team: str, wanted: int, limits: Limits) -> TakeReply:
+        return self._take_from(
+            self._own,
+            team,
+            wanted,
+            per_s=limits.requests_per_s,
+            burst=limits.burst_requests,
+        )
+
+    def grant(self, request: TakeRequest) -> TakeReply:
+        """Answer another entry that takes this one for the home of a limit."""
+        limits = self._limits_of(request.team)
+        if limits is None:
+            return TakeReply(granted=0, retry_after_s=1.0)
+        return self._grant(request.team, min(request.wanted, LEASE_MOST), limits)
+
+    async def close(self) -> None:
+        """Close the connections to homes."""
+        for channel in self._channels.values():
+            await channel.close()
--- a/src/shallotroad/protocol/rpc.py
+++ b/src/shallotroad/protocol/rpc.py
@@ -12,6 +12,8 @@
 from shallotroad.protocol.peer_pb2 import Batch
 from shallotroad.protocol.peer_pb2 import ConfigDelta
 from shallotroad.protocol.peer_pb2 import PullRequest
+from shallotroad.protocol.peer_pb2 import TakeReply
+from shallotroad.protocol.peer_pb2 import TakeRequest
 
 
 if TYPE_CHECKING:
@@ -23,6 +25,7 @@
     Context = grpc.aio.ServicerContext[Any, Any]
     SessionHandler = Callable[[AsyncIterator[Batch], Context], Awaitable[None]]
     PullHandler = Callable[[PullRequest], ConfigDelta]
+    TakeHandler = Callable[[TakeRequest], TakeReply]
 
 SERVICE = "shallotroad.Peer"
 KEY_METADATA = "x-fleet-key"
@@ -51,7 +54,11 @@
 
 
 def make_server(
-    *, session: SessionHandler | None, pull: PullHandler, fleet_key: str
+    *,
+    session: SessionHandler | None = None,
+    pull: PullHandler,
+    take: TakeHandler | None = None,
+    fleet_key: str,
 ) -> grpc.aio.Server:
     """Make the server of one process.
 
@@ -61,6 +68,8 @@
         Serves an entry's stream of batches; an entry itself has none.
     pull : PullHandler
         Answers what the configuration has gained since a revision.
+    take : TakeHandler or None
+        Grants requests of a team whose limit this entry is the home of.
     fleet_key : str
         Secret that a caller must show.
     """
@@ -76,6 +85,13 @@
         await _authenticate(context, fleet_key)
         return pull(request)
 
+    async def serve_take(request: TakeRequest, context: Context) -> TakeReply:
+        await _authenticate(context, fleet_key)
+        if take is None:
+            await context.abort(grpc.StatusCode.UNIMPLEMENTED, "not an entry")
+            return TakeReply()
+        return take(request)
+
     handlers: dict[str, grpc.RpcMethodHandler[Any, Any]] = {
         "Session": grpc.stream_stream_rpc_method_handler(
             serve_session,
@@ -87,6 +103,11 @@
             request_deserializer=PullRequest.FromString,
             response_serializer=ConfigDelta.SerializeToString,
         ),
+        "Take": grpc.unary_unary_rpc_method_handler(
+            serve_take,
+            request_deserializer=TakeRequest.FromString,
+            response_serializer=TakeReply.SerializeToString,
+        ),
     }
     server = grpc.aio.server(options=SERVER_OPTIONS)
     handler = grpc.method_handlers_generic_handler(SERVICE, handlers)
@@ -130,3 +151,23 @@
             timeout=timeout_s,
             metadata=((KEY_METADATA, fleet_key),),
         )
+
+
+async def take_requests(
+    channel: grpc.aio.Channel, request: TakeRequest, *, fleet_key: str, timeout_s: float
+) -> TakeReply:
+    """Ask the home of a team's limit for requests.
+
+    Raises
+    ------
+    grpc.aio.AioRpcError
+        When the home did not answer within ``timeout_s``.
+    """
+    method = channel.unary_unary(
+        f"/{SERVICE}/Take",
+        request_serializer=TakeRequest.SerializeToString,
+        response_deserializer=TakeReply.FromString,
+    )
+    return await method(
+        request, timeout=timeout_s, metadata=((KEY_METADATA, fleet_key),)
+    )
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+from shallotroad.agent.job import Job
+from shallotroad.agent.job import JobState
 from shallotroad.protocol.idempotency_key import IdempotencyKey
 from shallotroad.protocol.peer_pb2 import Offer
 
@@ -37,3 +39,9 @@
         "first_token_s": 1.0,
     }
     return Offer(**{**values, **changes})
+
+
+def make_job(**changes: Any) -> Job:
+    job = Job(offer=make_offer(**changes), key=None, limit_bytes=1000, now_s=0.0)
+    job.state = JobState.RUNNING
+    return job
