Build only the teams that a revision changes

Cause: adopting a change of one team rebuilt all: 24 ms at 470 teams, 2.7 % of a core at 1.13 changes a second against 1.5 % for all control, and a stall of the loop of up to 109 ms. Change: teams that were found valid are kept by their texts; keys are looked up by digest. Ruled out: building in a thread (the same processor time). Measured: adopting one change, p50: 10 teams 460 to 128 us, 470 teams 23,922 to 934 us.

--- a/src/shallotroad/config/fleet.py
+++ b/src/shallotroad/config/fleet.py
@@ -181,6 +181,23 @@
     return found
 
 
+def _structure_value(text: str, findings: list[Finding]) -> FleetValue | None:
+    data = _decode(FLEET_KEY, text, findings)
+    try:
+        return structure(data, FleetValue, source=FLEET_KEY)
+    except ConfigInvalidError as error:
+        findings.extend(error.exceptions)  # type: ignore[arg-type]
+    return None
+
+
+class Checked(NamedTuple):
+    """A team that was found valid, with the texts that it was built from."""
+
+    text: str
+    fleet_text: str
+    team: Team
+
+
 def _structure_team(key: str, text: str, findings: list[Finding]) -> Team | None:
     data = _decode(key, text, findings)
     if data is None:
@@ -196,7 +213,37 @@
     return team
 
 
-def build_fleet(*, revision: int, values: Mapping[str, str]) -> Fleet:
+class FleetBuilder:
+    """Builds fleets and builds again only the teams that have changed."""
+
+    def __init__(self) -> None:
+        self._checked: dict[str, Checked] = {}
+
+    def team(
+        self, key: str, values: Mapping[str, str], value: FleetValue | None
+    ) -> tuple[Team | None, list[Finding]]:
+        """Return the team of a key, or None, and the findings about it."""
+        text, fleet_text = values[key], values[FLEET_KEY]
+        known = self._checked.get(key)
+        if known is not None and (known.text, known.fleet_text) == (text, fleet_text):
+            return known.team, []
+        findings: list[Finding] = []
+        team = _structure_team(key, text, findings)
+        if team is not None and value is not None:
+            findings.extend(check_team(key, team, value))
+        if team is not None and not findings and value is not None:
+            self._checked[key] = Checked(text, fleet_text, team)
+        return team, findings
+
+    def keep(self, values: Mapping[str, str]) -> None:
+        """Forget teams that are gone."""
+        for key in self._checked.keys() - values.keys():
+            del self._checked[key]
+
+
+def build_fleet(
+    *, revision: int, values: Mapping[str, str], builder: FleetBuilder | None = None
+) -> Fleet:
     """Build the configuration of one revision from its values.
 
     Parameters
@@ -205,6 +252,8 @@
         Revision of the configuration service.
     values : Mapping[str, str]
         JSON text by key: ``fleet`` and one ``team/NAME`` for each team.
+    builder : FleetBuilder or None
+        Remembers the teams of earlier revisions.
 
     Raises
     ------
@@ -216,21 +265,16 @@
         message = "value is missing; publish it"
         missing = Finding(place=FLEET_KEY, message=message)
         raise ConfigInvalidError(f"revision {revision} is not valid", [missing])
-    data = _decode(FLEET_KEY, values[FLEET_KEY], findings)
+    builder = builder or FleetBuilder()
+    builder.keep(values)
+    value = _structure_value(values[FLEET_KEY], findings)
     teams: dict[str, Team] = {}
-    for key, text in values.items():
+    for key in values:
         if key.startswith(TEAM_PREFIX):
-            team = _structure_team(key, text, findings)
+            team, found = builder.team(key, values, value)
+            findings.extend(found)
             if team is not None:
                 teams[team.name] = team
-    value = None
-    try:
-        value = structure(data, FleetValue, source=FLEET_KEY)
-    except ConfigInvalidError as error:
-        findings.extend(error.exceptions)  # type: ignore[arg-type]
-    if value is not None:
-        for team in teams.values():
-            findings.extend(check_team(f"{TEAM_PREFIX}{team.name}", team, value))
     findings.extend(_check_keys(teams))
     if findings or value is None:
         raise ConfigInvalidError(f"revision {revision} is not valid", findings)
--- a/src/shallotroad/config/revision_log.py
+++ b/src/shallotroad/config/revision_log.py
@@ -11,6 +11,7 @@
 
 from shallotroad.config.exceptions import ConfigInvalidError
 from shallotroad.config.fleet import Fleet
+from shallotroad.config.fleet import FleetBuilder
 from shallotroad.config.fleet import build_fleet
 
 
@@ -48,6 +49,7 @@
         self._history: deque[Delta] = deque(maxlen=HISTORY_CHANGES)
         self._listeners: list[Callable[[Fleet], None]] = []
         self._changed = asyncio.Event()
+        self._builder = FleetBuilder()
 
     def on_change(self, listener: Callable[[Fleet], None]) -> None:
         """Call the listener with each newly accepted fleet."""
@@ -64,7 +66,9 @@
         for key in delta.removed:
             values.pop(key, None)
         try:
-            fleet = build_fleet(revision=delta.revision, values=values)
+            fleet = build_fleet(
+                revision=delta.revision, values=values, builder=self._builder
+            )
         except ConfigInvalidError as error:
             self._refuse(delta.revision, error)
             return False
--- a/src/shallotroad/entry/classify.py
+++ b/src/shallotroad/entry/classify.py
@@ -4,7 +4,6 @@
 
 import fnmatch
 import hashlib
-import hmac
 import json
 from typing import TYPE_CHECKING
 from typing import Any
@@ -47,9 +46,9 @@
     """
     scheme, _, key = authorization.partition(" ")
     digest = hashlib.sha256(key.strip().encode()).hexdigest()
-    for known, team in fleet.team_by_key.items():
-        if scheme.lower() == "bearer" and hmac.compare_digest(known, digest):
-            return fleet.teams[team]
+    name = fleet.team_by_key.get(digest)
+    if scheme.lower() == "bearer" and name is not None:
+        return fleet.teams[name]
     raise BadRequestError(
         status=401,
         code="invalid_api_key",
