Bound open requests and answer every error in the API's format

Cause: the setting for open connections was read and never used; unknown paths and too large bodies got plain text. Change: a middleware bounds open requests and turns every error into the API's format; a failure of our own is 500 with outcome unknown, logged, no traceback. Ruled out: a bound on sockets; idle keep-alive connections cost little.

--- a/src/shallotroad/config/settings.py
+++ b/src/shallotroad/config/settings.py
@@ -74,7 +74,7 @@
     """Bounds on what callers may send and hold."""
 
     body_bytes: int = 1_000_000
-    connections: int = 2_000
+    open_requests: int = 2_000
     slow_caller_s: float = 60.0
     peers_per_target: int = 8
 
--- a/src/shallotroad/entry/factory.py
+++ b/src/shallotroad/entry/factory.py
@@ -21,6 +21,7 @@
 from shallotroad.entry.exports import entry_metrics
 from shallotroad.entry.gateway import Gateway
 from shallotroad.entry.handlers import Handlers
+from shallotroad.entry.middleware import make_guard
 from shallotroad.entry.peer import Identity
 from shallotroad.entry.peer_set import PeerSet
 from shallotroad.entry.retry_budget import RetryBudget
@@ -148,7 +149,9 @@
         accepting = any(peer.load.accepting for peer in parts.peers.connected())
         return "" if accepting else "no agent takes work"
 
-    app = web.Application(client_max_size=parts.settings.limits.body_bytes)
+    limits = parts.settings.limits
+    guard = make_guard(most_open=limits.open_requests)
+    app = web.Application(client_max_size=limits.body_bytes, middlewares=[guard])
     Handlers(gateway=gateway).add_routes(app)
     add_status_routes(
         app,
--- /dev/null
+++ b/src/shallotroad/entry/middleware.py
@@ -0,0 +1,78 @@
+"""What every request passes: a bound on open ones, and errors in API format."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from loguru import logger
+
+from shallotroad.entry.api_errors import error_response
+from shallotroad.entry.exceptions import BadRequestError
+from shallotroad.entry.exceptions import NotRunError
+from shallotroad.entry.exceptions import OutcomeUnknownError
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from aiohttp.typedefs import Middleware
+
+    Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+KEY_HEADER = "Idempotency-Key"
+
+
+def _too_many() -> NotRunError:
+    return NotRunError(
+        status=503,
+        code="too_many_requests_open",
+        detail="this entry holds as many requests as it may; send again",
+        retry_after_s=1.0,
+    )
+
+
+def _bad_request(error: web.HTTPException) -> BadRequestError:
+    code = (error.reason or "bad request").lower().replace(" ", "_")
+    detail = error.text or error.reason or "the request is malformed"
+    return BadRequestError(status=error.status, code=code, detail=detail)
+
+
+def make_guard(*, most_open: int) -> Middleware:
+    """Return the middleware.
+
+    Parameters
+    ----------
+    most_open : int
+        Requests that may be open at a time.
+    """
+    open_count = 0
+
+    @web.middleware
+    async def guard(request: web.Request, handler: Handler) -> web.StreamResponse:
+        nonlocal open_count
+        keyed = KEY_HEADER in request.headers
+        if open_count >= most_open:
+            return error_response(_too_many(), request_id="", keyed=keyed)
+        open_count += 1
+        try:
+            return await handler(request)
+        except web.HTTPException as error:
+            if error.status < 400:
+                raise
+            return error_response(_bad_request(error), request_id="", keyed=keyed)
+        except ConnectionError:
+            raise
+        except Exception:
+            logger.exception("{} {} failed", request.method, request.path)
+            unknown = OutcomeUnknownError(
+                code="internal_error",
+                detail="the entry failed; the outcome is unknown",
+                status=500,
+            )
+            return error_response(unknown, request_id="", keyed=keyed)
+        finally:
+            open_count -= 1
+
+    return guard
