End scheduling beside a waiting suspect; fetch configuration one peer at a time

Cause: two faults found by measurement and by the poison proof with its mechanism off. (1) An agent hung: a suspect waits at the head, the scheduler paused a draft for it, the free permit went to the paused draft again, for ever. (2) 124 fresh agents pulled 0.7 MB each from one entry at once (255 MB, 3.5 MB/s), and heartbeats of one entry all fell together. Change: nothing pauses for a suspect that can't start; others pass it for one second; a suspect that has answered is cleared at peers. One pull at a time for each process, whole configurations four a second from each, heartbeats spread; an agent tells two entries of a new revision instead of all; start-up asks for revisions first, then one peer for values. No refusal on an unlearnt service time: 40 callers at two fresh endpoints were refused with 'deadline'. Ruled out: the configuration's own cost (with 2 teams instead of 470 a change costs 2.2 against 2.9 % of a core at 13 peers, so messages dominate).

--- a/devtools/bench/control_cost.py
+++ b/devtools/bench/control_cost.py
@@ -32,7 +32,7 @@
 from shallotroad.entry.peer_set import HEARTBEATS_PER_S
 from shallotroad.entry.peer_set import IDLE_HEARTBEAT_S
 from shallotroad.policy.suspects import Suspects
-from shallotroad.protocol.config_delta import to_message
+from shallotroad.protocol.config_delta import answer_pull
 from shallotroad.protocol.rpc import make_server
 
 
@@ -81,14 +81,16 @@
                 fleet_key=FLEET_KEY,
             )
             sessions = Sessions(authority=authority)
+            log.on_change(lambda _, sessions=sessions: sessions.spread_revision())  # type: ignore[misc]
             server = make_server(
                 session=sessions.serve,
-                pull=lambda request, log=log: to_message(log.since(request.since)),  # type: ignore[misc]
+                pull=lambda request, log=log: answer_pull(log, request),  # type: ignore[misc]
                 fleet_key=FLEET_KEY,
             )
             ports.append(server.add_insecure_port(f"{HOST}:0"))
             await server.start()
             self._tasks.append(asyncio.create_task(sessions.announce()))
+            self._tasks.append(asyncio.create_task(sessions.catch_up()))
             self.logs.append(log)
             self._servers.append(server)
         return ports
@@ -176,6 +178,8 @@
     role: str,
     rate_per_s: float,
 ) -> Slope:
+    while any(log.revision == 0 for log in logs):
+        await asyncio.sleep(SETTLE_S / 10)
     await asyncio.sleep(SETTLE_S)
     in_force = InForce()
     for log in logs:
--- a/devtools/bench/path_cost.py
+++ b/devtools/bench/path_cost.py
@@ -27,6 +27,7 @@
 
     name: str
     tokens: int
+    span_s: float
     us_a_token: dict[str, float]
     first_token_p50_ms: float
     first_token_p99_ms: float
@@ -76,6 +77,14 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
 
+def _by_role(processes: list[Handle], values: list[float]) -> dict[str, float]:
+    """Return the sum of the values of the processes of each role."""
+    sums: dict[str, float] = {}
+    for handle, value in zip(processes, values, strict=True):
+        sums[handle.role] = sums.get(handle.role, 0.0) + value
+    return sums
+
+
 async def _run(
     name: str, url: str, processes: list[Handle], streams: int, tokens: int
 ) -> Cost:
@@ -86,12 +95,14 @@
             *(_stream(session, url, f"warm {n}", 20) for n in range(WARM_STREAMS))
         )
         before = [read_usage(h.process.pid) for h in processes]
+        began_s = time.monotonic()
 
         async def later(number: int) -> Seen:
             await asyncio.sleep(GAP_S * tokens / 4 * number / streams)
             return await _stream(session, url, f"{name} {number}", tokens)
 
         seen = await asyncio.gather(*(later(n) for n in range(streams)))
+        span_s = time.monotonic() - began_s
         after = [read_usage(h.process.pid) for h in processes]
     total = sum(item.tokens for item in seen)
     firsts = [item.first_s for item in seen]
@@ -99,27 +110,31 @@
     return Cost(
         name=name,
         tokens=total,
-        us_a_token={
-            h.role: (b.cpu_s - a.cpu_s) * 1e6 / total
-            for h, a, b in zip(processes, before, after, strict=True)
-        },
+        us_a_token=_by_role(
+            processes,
+            [
+                (b.cpu_s - a.cpu_s) * 1e6 / total
+                for a, b in zip(before, after, strict=True)
+            ],
+        ),
+        span_s=span_s,
         first_token_p50_ms=_quantile(firsts, 0.5) * 1000,
         first_token_p99_ms=_quantile(firsts, 0.99) * 1000,
         gap_p95_ms=_quantile(gaps, 0.95) * 1000,
-        memory_mb={
-            h.role: b.memory_bytes / 1e6 for h, b in zip(processes, after, strict=True)
-        },
+        memory_mb=_by_role(processes, [b.memory_bytes / 1e6 for b in after]),
     )
 
 
-def _start(agents: int) -> tuple[LocalFleet, Handle, list[Handle]]:
-    fleet = LocalFleet(log_level="WARNING")
+def _start(fleet: LocalFleet, agents: int) -> tuple[Handle, list[Handle]]:
     fleet.start_platform()
     fleet.publish(sample.first_values())
     routers = []
     for number in range(agents):
         engine = fleet.start_engine(
-            f"engine-{number}", "--step-s", str(GAP_S), "--bears", "1000"
+            f"engine-{number}",
+            *("--step-s", str(GAP_S)),
+            *("--bears", "1000"),
+            *("--batch-slope", "0"),
         )
         routers.append(
             fleet.start_agent(
@@ -136,14 +151,15 @@
     command = ["-m", "devtools.bench.passthrough", "--port", str(port)]
     plain = fleet.spawn("plain", "engine", [*command, "--target", target], port)
     routers.append(fleet.start_entry("entry-1", sample.DATA_CENTRES[0]))
-    return fleet, plain, routers
+    return plain, routers
 
 
 def _print(cost: Cost) -> None:
     parts = "  ".join(f"{k} {v:.1f}" for k, v in cost.us_a_token.items())
     memory = "  ".join(f"{k} {v:.0f}" for k, v in cost.memory_mb.items())
     click.echo(
-        f"{cost.name:<12} {cost.tokens} tokens; us a token: {parts}; "
+        f"{cost.name:<12} {cost.tokens} tokens, {cost.tokens / cost.span_s:.0f}/s; "
+        f"us a token: {parts}; "
         f"first token p50 {cost.first_token_p50_ms:.1f} ms, "
         f"p99 {cost.first_token_p99_ms:.1f} ms; gap p95 {cost.gap_p95_ms:.1f} ms; "
         f"MB: {memory}"
@@ -177,10 +193,15 @@
 @click.option("--streams", default=100, show_default=True)
 @click.option("--tokens", default=200, show_default=True)
 @click.option("--pairs", default=3, show_default=True)
-def main(streams: int, tokens: int, pairs: int) -> None:
-    """Measure processor time a token of entry and agent, and of a pass-through."""
-    fleet, plain, routers = _start(1)
+@click.option("--agents", default=1, show_default=True)
+def main(streams: int, tokens: int, pairs: int, agents: int) -> None:
+    """Measure processor time a token of entry and agents, and of a pass-through.
+
+    With more than one agent the pass-through still has one engine.
+    """
+    fleet = LocalFleet(log_level="WARNING")
     try:
+        plain, routers = _start(fleet, agents)
         ratios = asyncio.run(_pairs(fleet, plain, routers, streams, tokens, pairs))
     finally:
         fleet.close()
--- a/devtools/disabled.py
+++ b/devtools/disabled.py
@@ -87,7 +87,7 @@
         return
 
     keeper.ask_peers = ask
-    peer.AgentPeer._pull = pull  # type: ignore[method-assign]
+    peer.AgentPeer.catch_up = pull  # type: ignore[method-assign]
 
 
 def _no_monotonic_revision() -> None:
--- a/devtools/engine_standin.py
+++ b/devtools/engine_standin.py
@@ -224,6 +224,7 @@
 @click.option("--bears", type=int, default=8, show_default=True)
 @click.option("--bears-cold", type=int, default=2, show_default=True)
 @click.option("--cold-s", type=float, default=0.0, show_default=True)
+@click.option("--batch-slope", type=float, default=0.03, show_default=True)
 @click.option("--poison", default="", help="Prompt text that crashes the engine.")
 def main(
     host: str,
@@ -232,11 +233,16 @@
     bears: int,
     bears_cold: int,
     cold_s: float,
+    batch_slope: float,
     poison: str,
 ) -> None:
     """Run an engine stand-in."""
     speed = model.EngineSpeed(
-        step_s=step_s, bears=bears, bears_cold=bears_cold, cold_s=cold_s
+        step_s=step_s,
+        batch_slope=batch_slope,
+        bears=bears,
+        bears_cold=bears_cold,
+        cold_s=cold_s,
     )
     serve_app(
         lambda: make_app(Engine(speed=speed, poison=poison)), host=host, port=port
--- a/src/shallotroad/agent/authority.py
+++ b/src/shallotroad/agent/authority.py
@@ -25,6 +25,7 @@
 from shallotroad.agent.scheduler import choose_next
 from shallotroad.agent.scheduler import choose_victim
 from shallotroad.agent.scheduler import expected_wait_s
+from shallotroad.agent.scheduler import first_ready
 from shallotroad.policy.suspects import Suspects
 from shallotroad.protocol import peer_pb2
 
@@ -103,6 +104,7 @@
         self.counters = Counters()
         self.changed = asyncio.Event()
         self._was_closed = False
+        self._has_fleet = False
         self._pace = EndpointPace(permits=self.permits)
         log.on_change(self._on_fleet)
 
@@ -115,7 +117,7 @@
 
     def running(self) -> list[Job]:
         """Return the jobs that hold a permit."""
-        return [job for job in self.jobs if job.state is JobState.RUNNING]
+        return [job for job in self.jobs.live() if job.state is JobState.RUNNING]
 
     @property
     def accepting(self) -> bool:
@@ -127,12 +129,14 @@
         closed = fleet.closed(
             instance=self.place.instance, data_centre=self.place.data_centre
         )
+        first = not self._has_fleet
         if self._was_closed and not closed:
             self.permits.restart(now_s=time.monotonic())
         if closed and not self._was_closed:
             self._refuse_waiting(peer_pb2.CLOSED, "the endpoint is taken out")
-        self._was_closed = closed
-        self.signal()
+        if first or closed != self._was_closed:
+            self._has_fleet, self._was_closed = True, closed
+            self.signal()
 
     def signal(self) -> None:
         """Wake whoever reports the state of this endpoint."""
@@ -182,7 +186,7 @@
         wait_s = expected_wait_s(
             offer.tier, self.queue, self.permits, self.running(), self.service
         )
-        if wait_s > offer.wait_budget_s:
+        if self.service.learnt and wait_s > offer.wait_budget_s:
             raise OfferRefusedError(
                 reason=peer_pb2.DEADLINE,
                 detail="it could not start in time",
@@ -287,13 +291,15 @@
             if choice is not None:
                 self.queue.take(choice.waiting)
                 self._start(choice.waiting, turn=choice.turn)
-            elif not self._make_room():
+            elif not self._make_room(now_s):
                 break
         self._relieve()
 
-    def _make_room(self) -> bool:
-        head = self.queue.head()
-        if head is None or self.permits.free or self.endpoint.kind != "engine":
+    def _make_room(self, now_s: float) -> bool:
+        if self.permits.free or self.endpoint.kind != "engine":
+            return False
+        head = first_ready(self.queue, self.running(), now_s)
+        if head is None or head.alone:
             return False
         victim = choose_victim(head, self.running())
         if victim is None:
@@ -363,8 +369,7 @@
         if job.state is JobState.RUNNING:
             self.permits.release()
         self.queue.remove(job.attempt)
-        job.state = JobState.ENDED
-        job.ended_s = time.monotonic()
+        self.jobs.end(job)
         self.service.observe(job.ended_s - job.started_s)
         self.count(ended=1)
         if ending.outcome != peer_pb2.DONE:
@@ -435,7 +440,7 @@
 
     async def drained(self) -> None:
         """Wait until no admitted job is left unfinished."""
-        while any(job.state is not JobState.ENDED for job in self.jobs):
+        while self.jobs.live():
             await asyncio.sleep(SWEEP_S / 5)
 
     async def sweep(self) -> None:
@@ -443,7 +448,7 @@
         while True:
             await asyncio.sleep(SWEEP_S)
             now_s = time.monotonic()
-            for job in list(self.jobs):
+            for job in self.jobs.live():
                 abandoned = job.abandon_s is not None and job.abandon_s < now_s
                 if abandoned and job.watchers == 0:
                     self.cancel(job.attempt)
--- a/src/shallotroad/agent/factory.py
+++ b/src/shallotroad/agent/factory.py
@@ -22,7 +22,7 @@
 from shallotroad.observability.status_server import add_status_routes
 from shallotroad.observability.stop_signal import wait_for_stop
 from shallotroad.platform.client import PlatformClient
-from shallotroad.protocol.config_delta import to_message
+from shallotroad.protocol.config_delta import answer_pull
 from shallotroad.protocol.rpc import make_server
 
 
@@ -79,11 +79,12 @@
     log = RevisionLog()
     authority = make_authority(settings, log)
     sessions = Sessions(authority=authority)
+    log.on_change(lambda _: sessions.spread_revision())
     platform = PlatformClient(settings=settings.platform)
     fleet_key = settings.security.fleet_key
     server = make_server(
         session=sessions.serve,
-        pull=lambda request: to_message(log.since(request.since)),
+        pull=lambda request: answer_pull(log, request),
         fleet_key=fleet_key,
     )
     server.add_insecure_port(f"{settings.listen.host}:{settings.listen.port}")
@@ -94,6 +95,7 @@
         asyncio.create_task(authority.sweep()),
         asyncio.create_task(authority.probe()),
         asyncio.create_task(sessions.announce()),
+        asyncio.create_task(sessions.catch_up()),
         asyncio.create_task(watch_pauses(lambda _: sessions.drop_all())),
         asyncio.create_task(
             keeper.poll_when_lonely(log, platform, lonely=lambda: not sessions.names())
--- a/src/shallotroad/agent/job_store.py
+++ b/src/shallotroad/agent/job_store.py
@@ -32,6 +32,7 @@
     def __init__(self, *, limit_bytes: int) -> None:
         self._limit_bytes = limit_bytes
         self._jobs: dict[str, Job] = {}
+        self._live: dict[str, Job] = {}
         self._refusals: OrderedDict[str, OfferRefusedError] = OrderedDict()
 
     def __iter__(self) -> Iterator[Job]:
@@ -47,6 +48,17 @@
     def add(self, job: Job) -> None:
         """Remember a job."""
         self._jobs[job.attempt] = job
+        self._live[job.attempt] = job
+
+    def live(self) -> list[Job]:
+        """Return the jobs that have not ended."""
+        return list(self._live.values())
+
+    def end(self, job: Job) -> None:
+        """Note that a job has ended; its answer is kept for a while."""
+        job.state = JobState.ENDED
+        job.ended_s = time.monotonic()
+        self._live.pop(job.attempt, None)
 
     def refusal(self, attempt: str) -> OfferRefusedError | None:
         """Return how an attempt was refused."""
@@ -62,7 +74,7 @@
         """Turn a job that never ran into a refusal and tell its watchers."""
         self.remember_refusal(job.attempt, error)
         self._jobs.pop(job.attempt, None)
-        job.state = JobState.ENDED
+        self.end(job)
         job.answer.finish(Ending(peer_pb2.GONE, error.detail))
 
     def size_bytes(self) -> int:
--- a/src/shallotroad/agent/scheduler.py
+++ b/src/shallotroad/agent/scheduler.py
@@ -16,6 +16,8 @@
 
 SERVICE_WEIGHT = 0.1
 SERVICE_FIRST_S = 1.0
+LEARNT_JOBS = 8
+ALONE_PATIENCE_S = 1.0
 
 
 class Choice(NamedTuple):
@@ -31,7 +33,8 @@
     """Return the request that gets a free permit now, or None.
 
     The head of strict priority goes first. While no running job holds the
-    turn, the longest waiting request of a lower tier takes it instead.
+    turn, the longest waiting request of a lower tier takes it instead. A
+    suspect starts only alone; others pass it for ``ALONE_PATIENCE_S``.
     """
     jobs = list(running)
     if not permits.free or any(job.offer.alone for job in jobs):
@@ -39,12 +42,21 @@
     aged = queue.aged(now_s)
     turn_free = not any(job.turn for job in jobs)
     turn = aged is not None and turn_free and permits.limit > 1
-    chosen = aged if turn else queue.head()
+    chosen = aged if turn else first_ready(queue, jobs, now_s)
     if chosen is None or (chosen.alone and jobs):
         return None
     return Choice(chosen, turn)
 
 
+def first_ready(queue: WorkQueue, running: list[Job], now_s: float) -> Waiting | None:
+    """Return the head, or who may pass a suspect that has not waited long."""
+    for item in queue:
+        passed = item.alone and now_s - item.since_s < ALONE_PATIENCE_S
+        if not (passed and running):
+            return item
+    return None
+
+
 def choose_victim(head: Waiting, running: Iterable[Job]) -> Job | None:
     """Return the job to pause so that ``head`` can start, or None."""
     lower = [j for j in running if j.pausable and j.offer.tier > head.tier]
@@ -52,13 +64,24 @@
 
 
 class ServiceTime:
-    """A running mean of how long a permit is held, in seconds."""
+    """A running mean of how long a permit is held, in seconds.
+
+    Until ``LEARNT_JOBS`` have ended it is a guess, on which nothing may be
+    refused.
+    """
 
     def __init__(self) -> None:
         self.mean_s = SERVICE_FIRST_S
+        self._ended = 0
+
+    @property
+    def learnt(self) -> bool:
+        """Whether enough jobs have ended to rely on the mean."""
+        return self._ended >= LEARNT_JOBS
 
     def observe(self, held_s: float) -> None:
         """Learn from one ended job."""
+        self._ended += 1
         self.mean_s += SERVICE_WEIGHT * (held_s - self.mean_s)
 
 
--- a/src/shallotroad/agent/session.py
+++ b/src/shallotroad/agent/session.py
@@ -22,7 +22,6 @@
     from shallotroad.agent.job import Job
     from shallotroad.protocol.rpc import Context
 
-PULL_GAP_S = 0.5
 BEHIND_WAIT_S = 1.0
 HEARTBEAT_S = 1.0
 LOAD_GAP_S = 0.1
@@ -41,9 +40,9 @@
         self._context = context
         self._outbox = Outbox()
         self._heartbeat_s = HEARTBEAT_S
+        self.heard_revision = 0
         self._feeds: dict[str, Feed] = {}
         self._behind: dict[str, asyncio.Task[None]] = {}
-        self._pulled_s = 0.0
 
     async def write(self) -> None:
         """Send batches until the connection ends."""
@@ -82,8 +81,8 @@
     def receive(self, batch: Batch) -> None:
         """Act on one batch."""
         self._heartbeat_s = batch.heartbeat_s or self._heartbeat_s
-        if batch.revision > self.authority.log.revision:
-            self._pull()
+        self.heard_revision = batch.revision
+        self.catch_up()
         for frame in batch.frames:
             self._receive_frame(frame)
         if not batch.frames:
@@ -100,23 +99,32 @@
         elif kind == "cancel":
             self._receive_cancel(frame.cancel)
         elif kind == "config_pull":
-            delta = self.authority.log.since(frame.config_pull.since)
-            if delta is not None:
-                self.tell(Frame(config_delta=to_message(delta)))
+            self._answer_pull(frame.config_pull)
         elif kind == "config_delta":
             self.authority.log.adopt(from_message(frame.config_delta))
         elif kind == "suspect":
-            self.authority.suspects.hold(
-                frame.suspect.fingerprint,
-                frame.suspect.crashes,
-                now_s=time.monotonic(),
-            )
-
-    def _pull(self) -> None:
+            self._receive_suspect(frame.suspect)
+
+    def _answer_pull(self, pull: peer_pb2.ConfigPull) -> None:
+        log = self.authority.log
+        delta = log.rationed_since(pull.since, now_s=time.monotonic())
+        if delta is not None:
+            self.tell(Frame(config_delta=to_message(delta)))
+
+    def _receive_suspect(self, suspect: peer_pb2.Suspect) -> None:
+        suspects = self.authority.suspects
+        if suspect.crashes == 0:
+            suspects.clear(suspect.fingerprint)
+            return
         now_s = time.monotonic()
-        if now_s - self._pulled_s >= PULL_GAP_S:
-            self._pulled_s = now_s
-            since = self.authority.log.revision
+        suspects.hold(suspect.fingerprint, suspect.crashes, now_s=now_s)
+
+    def catch_up(self) -> None:
+        """Ask the entry for configuration when it is known to have newer."""
+        since = self.authority.log.revision
+        if self.heard_revision <= since:
+            return
+        if self.authority.log.claim_pull(now_s=time.monotonic()):
             self.tell(Frame(config_pull=peer_pb2.ConfigPull(since=since)))
 
     def _receive_ack(self, ack: peer_pb2.Ack) -> None:
@@ -138,7 +146,7 @@
         if offer.revision <= self.authority.log.revision:
             self._serve_offer(offer)
             return
-        self._pull()
+        self.catch_up()
         attempt = offer.attempt
         task = asyncio.create_task(self._serve_when_current(offer))
         self._behind[attempt] = task
--- a/src/shallotroad/agent/sessions.py
+++ b/src/shallotroad/agent/sessions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -23,6 +24,8 @@
 SILENT_HEARTBEATS = 3.0
 SILENT_MINIMUM_S = 3.0
 ANNOUNCE_GAP_S = 0.02
+SPREAD_ENTRIES = 2
+CATCH_UP_GAP_S = 0.5
 
 
 class Sessions:
@@ -94,6 +97,13 @@
         self._current[hello.incarnation] = session
         return True
 
+    def spread_revision(self) -> None:
+        """Tell a few entries that may not have the revision just accepted."""
+        revision = self._authority.log.revision
+        behind = [s for s in self._current.values() if s.heard_revision < revision]
+        for session in random.sample(behind, min(SPREAD_ENTRIES, len(behind))):
+            session.tell_load()
+
     async def announce(self) -> None:
         """Tell every entry at once when the endpoint's state has changed."""
         while True:
@@ -102,6 +112,14 @@
                 session.tell_load()
             await asyncio.sleep(ANNOUNCE_GAP_S)
 
+    async def catch_up(self) -> None:
+        """Fetch newer configuration that an entry is known to have."""
+        while True:
+            await asyncio.sleep(CATCH_UP_GAP_S * random.uniform(0.5, 1.5))
+            sessions = list(self._current.values())
+            for session in random.sample(sessions, len(sessions)):
+                session.catch_up()
+
     def drop_all(self) -> None:
         """Close every session; what lies unread in them is never acted on."""
         for session in list(self._current.values()):
--- a/src/shallotroad/config/keeper.py
+++ b/src/shallotroad/config/keeper.py
@@ -19,6 +19,7 @@
 
 from shallotroad.platform.exceptions import PlatformUnavailableError
 from shallotroad.protocol.config_delta import from_message
+from shallotroad.protocol.peer_pb2 import PullRequest
 from shallotroad.protocol.rpc import pull_config
 
 
@@ -30,6 +31,7 @@
     from shallotroad.config.revision_log import RevisionLog
     from shallotroad.platform.client import Instance
     from shallotroad.platform.client import PlatformClient
+    from shallotroad.protocol.peer_pb2 import ConfigDelta
 
 READERS_PER_DATA_CENTRE = 2
 WATCH_S = 20.0
@@ -71,24 +73,35 @@
 async def ask_peers(
     log: RevisionLog, addresses: Sequence[str], *, fleet_key: str
 ) -> int:
-    """Ask a sample of peers for newer configuration; return how many answered."""
+    """Learn the newest configuration of a sample of peers.
+
+    All are asked for their revision, then one of the newest for the values.
+    Returns how many answered.
+    """
     sample = random.sample(addresses, min(PULL_PEERS, len(addresses)))
 
-    async def ask(address: str) -> bool:
+    async def ask(address: str, request: PullRequest) -> ConfigDelta | None:
         try:
-            message = await pull_config(
-                address,
-                since=log.revision,
-                fleet_key=fleet_key,
-                timeout_s=PULL_TIMEOUT_S,
+            return await pull_config(
+                address, request, fleet_key=fleet_key, timeout_s=PULL_TIMEOUT_S
             )
         except grpc.aio.AioRpcError:
-            return False
-        log.adopt(from_message(message))
-        return True
-
-    answers = await asyncio.gather(*(ask(address) for address in sample))
-    return sum(answers)
+            return None
+
+    only = PullRequest(revision_only=True)
+    answers = await asyncio.gather(*(ask(address, only) for address in sample))
+    known = [
+        (answer.revision, address)
+        for answer, address in zip(answers, sample, strict=True)
+        if answer is not None
+    ]
+    for revision, address in sorted(known, reverse=True):
+        if revision <= log.revision:
+            break
+        answer = await ask(address, PullRequest(since=log.revision))
+        if answer is not None:
+            log.adopt(from_message(answer))
+    return len(known)
 
 
 async def watch_platform(
--- a/src/shallotroad/config/revision_log.py
+++ b/src/shallotroad/config/revision_log.py
@@ -20,6 +20,8 @@
     from collections.abc import Mapping
 
 HISTORY_CHANGES = 256
+PULL_GAP_S = 0.5
+FULL_GAP_S = 0.25
 
 
 class Delta(NamedTuple):
@@ -50,6 +52,8 @@
         self._listeners: list[Callable[[Fleet], None]] = []
         self._changed = asyncio.Event()
         self._builder = FleetBuilder()
+        self._pulled_s = float("-inf")
+        self._full_s = float("-inf")
 
     def on_change(self, listener: Callable[[Fleet], None]) -> None:
         """Call the listener with each newly accepted fleet."""
@@ -103,6 +107,26 @@
         removed = tuple(k for k in old if k not in values)
         self._history.append(Delta(self.revision, delta.revision, changed, removed))
 
+    def claim_pull(self, *, now_s: float) -> bool:
+        """Tell whether this process may ask a peer now: one at a time."""
+        if now_s - self._pulled_s < PULL_GAP_S:
+            return False
+        self._pulled_s = now_s
+        return True
+
+    def rationed_since(self, revision: int, *, now_s: float) -> Delta | None:
+        """Return what a peer lacks, but whole configurations at a bounded rate.
+
+        A peer that gets nothing asks again, or asks another.
+        """
+        delta = self.since(revision)
+        if delta is None or delta.base > 0:
+            return delta
+        if now_s - self._full_s < FULL_GAP_S:
+            return None
+        self._full_s = now_s
+        return delta
+
     def since(self, revision: int) -> Delta | None:
         """Return what a process at ``revision`` lacks, or None when nothing."""
         if revision >= self.revision:
--- a/src/shallotroad/entry/dispatcher.py
+++ b/src/shallotroad/entry/dispatcher.py
@@ -275,7 +275,7 @@
         request = progress.request
         if item.ending is not None and item.ending.outcome == peer_pb2.DONE:
             self._history.note(list(request.blocks), peer.name)
-            self._suspects.clear(request.fingerprint)
+            self._clear_suspicion(request)
             return True
         if item.refused is not None:
             self._judge_refusal(progress, peer, item.refused)
@@ -290,6 +290,12 @@
         self._judge_broken(progress, peer, item)
         return False
 
+    def _clear_suspicion(self, request: RoutedRequest) -> None:
+        now_s = time.monotonic()
+        if self._suspects.crashes(request.fingerprint, now_s=now_s):
+            self._suspects.clear(request.fingerprint)
+            self._peers.tell_suspect(request.fingerprint, 0)
+
     def _judge_refusal(
         self, progress: Progress, peer: AgentPeer, refused: peer_pb2.Refused
     ) -> None:
--- a/src/shallotroad/entry/factory.py
+++ b/src/shallotroad/entry/factory.py
@@ -33,7 +33,7 @@
 from shallotroad.platform.client import PlatformClient
 from shallotroad.policy.affinity import PrefixHistory
 from shallotroad.policy.suspects import Suspects
-from shallotroad.protocol.config_delta import to_message
+from shallotroad.protocol.config_delta import answer_pull
 from shallotroad.protocol.rpc import make_server
 
 
@@ -185,7 +185,7 @@
     parts = wire_entry(settings)
     log = parts.log
     server = make_server(
-        pull=lambda request: to_message(log.since(request.since)),
+        pull=lambda request: answer_pull(log, request),
         take=parts.gateway.team_limits.grant,
         fleet_key=settings.security.fleet_key,
     )
--- a/src/shallotroad/entry/peer.py
+++ b/src/shallotroad/entry/peer.py
@@ -32,12 +32,12 @@
     from shallotroad.protocol.rpc import SessionCall
 
 BUSY_HEARTBEAT_S = 0.5
+HEARTBEAT_SPREAD = 0.6
 SILENT_HEARTBEATS = 3.0
 HELLO_TIMEOUT_S = 1.5
 BACKOFF_FIRST_S = 0.1
 BACKOFF_LAST_S = 2.0
 LOST_AFTER_S = 4.0
-PULL_GAP_S = 0.5
 MAXIMUM_REVOKED = 1000
 
 
@@ -105,10 +105,10 @@
         self._idle_heartbeat_s = idle_heartbeat_s
         self._generation = 0
         self._dropped = False
+        self._heard_revision = 0
         self._outbox = Outbox()
         self._revoked: dict[str, None] = {}
         self._heard_s = time.monotonic()
-        self._pulled_s = 0.0
         self._call: SessionCall | None = None
 
     def heartbeat_s(self) -> float:
@@ -206,7 +206,8 @@
         try:
             while True:
                 heartbeat_s = self.heartbeat_s()
-                frames = await outbox.take(heartbeat_s)
+                spread = random.uniform(HEARTBEAT_SPREAD, 1.0)
+                frames = await outbox.take(spread * heartbeat_s)
                 batch = Batch(
                     revision=self._log.revision,
                     frames=frames,
@@ -225,8 +226,8 @@
             self._receive(batch)
 
     def _receive(self, batch: Batch) -> None:
-        if batch.revision > self._log.revision:
-            self._pull()
+        self._heard_revision = batch.revision
+        self.catch_up()
         for frame in batch.frames:
             kind = frame.WhichOneof("kind")
             if kind == "chunk":
@@ -244,15 +245,16 @@
             elif kind == "config_delta":
                 self._log.adopt(from_message(frame.config_delta))
 
-    def _pull(self) -> None:
-        now_s = time.monotonic()
-        if now_s - self._pulled_s >= PULL_GAP_S:
-            self._pulled_s = now_s
+    def catch_up(self) -> None:
+        """Ask the agent for configuration when it is known to have newer."""
+        if not self.connected or self._heard_revision <= self._log.revision:
+            return
+        if self._log.claim_pull(now_s=time.monotonic()):
             pull = peer_pb2.ConfigPull(since=self._log.revision)
             self._outbox.put(Frame(config_pull=pull))
 
     def _answer_pull(self, pull: peer_pb2.ConfigPull) -> None:
-        delta = self._log.since(pull.since)
+        delta = self._log.rationed_since(pull.since, now_s=time.monotonic())
         if delta is not None:
             self._outbox.put(Frame(config_delta=to_message(delta)))
 
@@ -317,7 +319,10 @@
             self._revoked[item.attempt] = None
 
     def tell_suspect(self, fingerprint: str, crashes: int) -> None:
-        """Tell the agent of a request that was there at a crash."""
+        """Tell the agent of a request that was there at a crash.
+
+        No crashes say that the request has answered and is cleared.
+        """
         suspect = peer_pb2.Suspect(fingerprint=fingerprint, crashes=crashes)
         self._outbox.put(Frame(suspect=suspect))
 
--- a/src/shallotroad/entry/peer_set.py
+++ b/src/shallotroad/entry/peer_set.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import hashlib
+import random
 import time
 from typing import TYPE_CHECKING
 
@@ -149,12 +150,14 @@
             peer.drop_connection()
 
     async def sweep(self) -> None:
-        """Give attempts up at agents that stay silent."""
+        """Give attempts up at silent agents and fetch newer configuration."""
         while True:
             await asyncio.sleep(SWEEP_S)
             now_s = time.monotonic()
-            for peer in self._peers.values():
+            peers = list(self._peers.values())
+            for peer in random.sample(peers, len(peers)):
                 peer.lose_silent(now_s)
+                peer.catch_up()
 
     def close(self) -> None:
         """End every connection."""
--- a/src/shallotroad/protocol/config_delta.py
+++ b/src/shallotroad/protocol/config_delta.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from shallotroad.config.revision_log import Delta
 from shallotroad.protocol.peer_pb2 import ConfigDelta
 
 
+if TYPE_CHECKING:
+    from shallotroad.config.revision_log import RevisionLog
+    from shallotroad.protocol.peer_pb2 import PullRequest
+
+
 def to_message(delta: Delta | None) -> ConfigDelta:
     """Return the message; revision 0 says that there is nothing to tell."""
     if delta is None:
@@ -18,6 +25,13 @@
     )
 
 
+def answer_pull(log: RevisionLog, request: PullRequest) -> ConfigDelta:
+    """Return the answer to a process that asks for newer configuration."""
+    if request.revision_only:
+        return ConfigDelta(revision=log.revision)
+    return to_message(log.since(request.since))
+
+
 def from_message(message: ConfigDelta) -> Delta:
     """Return the delta that a message carries."""
     return Delta(
--- a/src/shallotroad/protocol/rpc.py
+++ b/src/shallotroad/protocol/rpc.py
@@ -133,7 +133,7 @@
 
 
 async def pull_config(
-    address: str, *, since: int, fleet_key: str, timeout_s: float
+    address: str, request: PullRequest, *, fleet_key: str, timeout_s: float
 ) -> ConfigDelta:
     """Ask one peer what the configuration has gained since a revision.
 
@@ -149,7 +149,7 @@
             response_deserializer=ConfigDelta.FromString,
         )
         return await method(
-            PullRequest(since=since),
+            request,
             timeout=timeout_s,
             metadata=((KEY_METADATA, fleet_key),),
         )
--- a/tests/processes/test_recovery.py
+++ b/tests/processes/test_recovery.py
@@ -35,10 +35,10 @@
         for number in range(4):
             reply = await send_chat(urls[number % 2], f"{POISON} LENGTH=5")
             codes.append(reply.code)
+            replies = await asyncio.gather(*bystanders)
         crashed = sum(
             fleet.handles[f"engine-{n}"].process.poll() is not None for n in range(1, 5)
         )
-        replies = await asyncio.gather(*bystanders)
         again = await asyncio.gather(
             *(
                 send_chat(urls[1], f"by {n} LENGTH=200", max_tokens=400)
--- /dev/null
+++ b/tests/unit/test_scheduler.py
@@ -0,0 +1,58 @@
+from __future__ import annotations
+
+from typing import Any
+
+from shallotroad.agent.permits import Permits
+from shallotroad.agent.queue import Waiting
+from shallotroad.agent.queue import WorkQueue
+from shallotroad.agent.scheduler import ALONE_PATIENCE_S
+from shallotroad.agent.scheduler import choose_next
+from shallotroad.agent.scheduler import choose_victim
+from tests.builders import make_job
+
+
+def waiting(attempt: str, tier: int, **changes: Any) -> Waiting:
+    return Waiting(attempt, tier, 10.0, 100.0, 0.0)._replace(**changes)
+
+
+def test_suspect_starts_only_alone() -> None:
+    queue = WorkQueue(places=8)
+    permits = Permits(floor=4, maximum=4)
+    queue.push(waiting("suspect", 0, alone=True))
+    queue.push(waiting("other", 1))
+    running = [make_job(attempt="r")]
+    permits.acquire()
+    early = choose_next(queue, permits, running, now_s=ALONE_PATIENCE_S / 2)
+    late = choose_next(queue, permits, running, now_s=ALONE_PATIENCE_S * 2)
+    permits.release()
+    free = choose_next(queue, permits, [], now_s=ALONE_PATIENCE_S * 2)
+    assert early is not None
+    assert early.waiting.attempt == "other"
+    assert late is None
+    assert free is not None
+    assert free.waiting.attempt == "suspect"
+
+
+def test_nothing_starts_beside_a_suspect() -> None:
+    queue = WorkQueue(places=8)
+    permits = Permits(floor=4, maximum=4)
+    queue.push(waiting("other", 0))
+    permits.acquire()
+    running = [make_job(attempt="s", alone=True)]
+    assert choose_next(queue, permits, running, now_s=5.0) is None
+
+
+def test_victim_is_the_latest_of_the_lowest_tier() -> None:
+    jobs = [
+        make_job(attempt="chat", tier=0, preemptible=True),
+        make_job(attempt="old", tier=3, preemptible=True),
+        make_job(attempt="new", tier=3, preemptible=True),
+        make_job(attempt="turn", tier=3, preemptible=True),
+        make_job(attempt="fixed", tier=3, preemptible=False),
+    ]
+    for number, job in enumerate(jobs):
+        job.started_s = number
+    jobs[3].turn = True
+    victim = choose_victim(waiting("head", 1), jobs)
+    assert victim is jobs[2]
+    assert choose_victim(waiting("head", 3), jobs) is None
