--- a/devtools/chaos.py
+++ b/devtools/chaos.py
@@ -222,6 +222,7 @@
             group.create_task(_throw_faults(chaos, random.Random(seed)))
             group.create_task(_close_a_centre(chaos, found))
         chats, bookings = await calls
+        await asyncio.to_thread(chaos.fleet.wait_all)
         found += await _check_settled(chaos)
         engines, seen = await asyncio.to_thread(_check_engines, chaos)
         found += engines
--- a/src/shallotroad/config/keeper.py
+++ b/src/shallotroad/config/keeper.py
@@ -40,7 +40,8 @@
 PULL_PEERS = 8
 BACKOFF_FIRST_S = 0.25
 BACKOFF_LAST_S = 8.0
-LONELY_POLL_S = 5.0
+LONELY_FIRST_S = 10.0
+LONELY_LAST_S = 60.0
 
 
 def chosen_readers(
@@ -149,8 +150,16 @@
 async def poll_when_lonely(
     log: RevisionLog, platform: PlatformClient, *, lonely: Callable[[], bool]
 ) -> None:
-    """Read the platform now and then while no peer is connected."""
+    """Read the platform now and then while no peer is connected.
+
+    The time between reads doubles up to ``LONELY_LAST_S``, so that a fleet
+    whose entries are all away does not flood the platform.
+    """
+    gap_s = LONELY_FIRST_S
     while True:
-        await asyncio.sleep(LONELY_POLL_S * random.uniform(0.5, 1.5))
-        if lonely():
-            await read_platform_once(log, platform)
+        await asyncio.sleep(gap_s * random.uniform(0.2, 1.8))
+        if not lonely():
+            gap_s = LONELY_FIRST_S
+            continue
+        await read_platform_once(log, platform)
+        gap_s = min(LONELY_LAST_S, gap_s * 2)
