Learn nothing from first tokens that a long prompt explains

Ruled out: the ramp (2 to 8 permits takes about 3 s when saturated); pausing. Change: first tokens below 1 s tell nothing; permits shrink on slow tokens.

--- a/src/shallotroad/agent/permits.py
+++ b/src/shallotroad/agent/permits.py
@@ -6,7 +6,7 @@
 
 
 COLD_RATIO = 4.0
-COLD_MINIMUM_S = 0.25
+COLD_FIRST_TOKEN_S = 1.0
 SLOW_RATIO = 2.0
 BASELINE_WEIGHT = 0.1
 HOLD_FIRST_S = 2.0
@@ -29,10 +29,11 @@
     """Permits of one endpoint: a floor at start, then growth by good service.
 
     The limit grows by one after as many requests as it admits were served at a
-    good pace while all permits were in use. It shrinks when first tokens are
-    slow, and falls to the floor when a first token or the time between tokens
-    is so late that the endpoint must have turned cold. After each fall growth
-    waits twice as long, until the endpoint has been calm for ``CALM_S``.
+    good pace while all permits were in use. It shrinks when tokens are slow,
+    and falls to the floor when a first token or the time between tokens is so
+    late that the endpoint must have turned cold. After each fall growth waits
+    twice as long, until the endpoint has been calm for ``CALM_S``. First tokens
+    below ``COLD_FIRST_TOKEN_S`` tell nothing: prompts differ in length.
     """
 
     def __init__(self, *, floor: int, maximum: int) -> None:
@@ -100,6 +101,7 @@
         """Learn from the mean time between the tokens of one served request."""
         baseline_s = self._gap_s or gap_s
         if gap_s > SLOW_RATIO * baseline_s:
+            self._limit = max(float(self._floor), self._limit * SLOW_SHRINK)
             self.observe_gap(gap_s, now_s=now_s)
             return
         self._gap_s = baseline_s + BASELINE_WEIGHT * (gap_s - baseline_s)
@@ -126,13 +128,10 @@
             Monotonic time in seconds.
         """
         baseline_s = self._baseline_s or first_token_s
-        cold_s = max(COLD_MINIMUM_S, COLD_RATIO * baseline_s)
+        cold_s = max(COLD_FIRST_TOKEN_S, COLD_RATIO * baseline_s)
         if first_token_s > cold_s:
             if self.limit > self._floor:
                 self._fall(now_s)
             return
-        if first_token_s > max(COLD_MINIMUM_S, SLOW_RATIO * baseline_s):
-            self._limit = max(float(self._floor), self._limit * SLOW_SHRINK)
-            return
         change_s = first_token_s - baseline_s
         self._baseline_s = baseline_s + BASELINE_WEIGHT * change_s
--- a/tests/unit/test_permits.py
+++ b/tests/unit/test_permits.py
@@ -83,3 +83,21 @@
         else:
             permits.observe_first_token(taken_s, now_s=now_s)
         assert 2 <= permits.limit <= 6
+
+
+def test_long_prompts_take_no_permits_away() -> None:
+    """First tokens of long prompts come late; that is no sign of cold."""
+    permits = Permits(floor=2, maximum=8)
+    permits.observe_first_token(0.03, now_s=10.0)
+    warm(permits, 100, now_s=10.0)
+    for _ in range(20):
+        permits.observe_first_token(0.4, now_s=11.0)
+    assert permits.limit > 6
+
+
+def test_slow_tokens_take_permits_away() -> None:
+    permits = Permits(floor=2, maximum=8)
+    warm(permits, 100, now_s=10.0, taken_s=0.02)
+    for _ in range(20):
+        permits.observe_pace(0.06, now_s=11.0)
+    assert permits.limit == 2
