Notice batches that vanish on a connection that lives on

Trace: both were offered to an agent whose proxy lost bytes towards it for a second; whole HTTP/2 frames vanished, the stream went on, the offers never came and nothing noticed. Ruled out: team limits (their home was the entry itself), the scheduler (no job at any agent), deadlines of the queue (both were quick chats). Change: batches of each direction are numbered; a gap ends the session, and attempts are offered or resumed over a new one. The check stays as it was.

--- a/src/shallotroad/agent/session.py
+++ b/src/shallotroad/agent/session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import time
 from typing import TYPE_CHECKING
 
@@ -47,13 +48,15 @@
     async def write(self) -> None:
         """Send batches until the connection ends."""
         load_sent_s = 0.0
-        while True:
+        for number in itertools.count():
             frames = await self._outbox.take(UNASKED_HEARTBEATS * self._heartbeat_s)
             now_s = time.monotonic()
             if not frames or now_s - load_sent_s > LOAD_GAP_S:
                 load_sent_s = now_s
                 frames.append(self._load())
-            batch = Batch(revision=self.authority.log.revision, frames=frames)
+            batch = Batch(
+                revision=self.authority.log.revision, frames=frames, number=number
+            )
             await self._context.write(batch)
 
     def tell_load(self) -> None:
--- a/src/shallotroad/agent/sessions.py
+++ b/src/shallotroad/agent/sessions.py
@@ -68,11 +68,13 @@
     async def _read(
         self, stream: AsyncIterator[Batch], session: Session, heartbeat_s: float
     ) -> None:
+        number = 0
         while not session.closed:
             silent_s = max(SILENT_MINIMUM_S, SILENT_HEARTBEATS * heartbeat_s)
             async with asyncio.timeout(silent_s):
                 batch = await anext(stream)
-            if session.closed:
+            number += 1
+            if session.closed or batch.number != number:
                 return
             heartbeat_s = batch.heartbeat_s or heartbeat_s
             session.receive(batch)
--- a/src/shallotroad/entry/peer.py
+++ b/src/shallotroad/entry/peer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 import time
 from typing import TYPE_CHECKING
@@ -204,7 +205,7 @@
     async def _write(self, call: SessionCall) -> None:
         outbox = self._outbox
         try:
-            while True:
+            for number in itertools.count(1):
                 heartbeat_s = self.heartbeat_s()
                 spread = random.uniform(HEARTBEAT_SPREAD, 1.0)
                 frames = await outbox.take(spread * heartbeat_s)
@@ -212,17 +213,22 @@
                     revision=self._log.revision,
                     frames=frames,
                     heartbeat_s=heartbeat_s,
+                    number=number,
                 )
                 await call.write(batch)
         except (grpc.aio.AioRpcError, asyncio.InvalidStateError):
             self.drop_connection()
 
     async def _read(self, call: SessionCall) -> None:
+        number = 0
         while True:
             silent_s = SILENT_HEARTBEATS * self.heartbeat_s()
             async with asyncio.timeout(silent_s):
                 batch = await self._next(call)
             self._heard_s = time.monotonic()
+            number += 1
+            if batch.number != number:
+                raise EOFError("batches were lost on the way")
             self._receive(batch)
 
     def _receive(self, batch: Batch) -> None:
--- a/tests/processes/test_whole_answer.py
+++ b/tests/processes/test_whole_answer.py
@@ -175,3 +175,21 @@
         fleet.close()
     for prompt, reply in zip(prompts, replies, strict=True):
         assert reply.text == whole_answer(prompt, 128), reply
+
+
+async def test_offer_lost_on_a_connection_that_lives_on() -> None:
+    """Whole batches vanish towards the agent; the gap is noticed."""
+    fleet, proxy = await start_behind_proxy()
+    try:
+        await send_chat(entry_url(fleet), "warm LENGTH=5")
+        proxy.fault = Fault.LOSE_REQUESTS
+        task = asyncio.create_task(send_chat(entry_url(fleet), "lost LENGTH=20"))
+        await asyncio.sleep(0.3)
+        proxy.heal()
+        reply = await asyncio.wait_for(task, 10)
+        generated = fleet.stats("engine-1")["generated"]
+    finally:
+        fleet.close()
+        await proxy.close()
+    assert reply.text == whole_answer("lost LENGTH=20", 128)
+    assert generated == 25
