Keep a third of the engines clear of long prompts; report load by datagrams

Gossip over HTTP made most of the bytes between data centres. Ruled out: waiting before the first event (waited_ms was 0). Change: a rendezvous-drawn third of the engines takes streams that bear short pauses; prompts of patient streams go there only after 0.6 of their objective. Loads and placements go by small datagrams; first use of a prefix is placed near.

--- a/src/shallotroad/agent/factory.py
+++ b/src/shallotroad/agent/factory.py
@@ -18,10 +18,10 @@
 from shallotroad.agent.sessions import Sessions
 from shallotroad.config import keeper
 from shallotroad.config.revision_log import RevisionLog
+from shallotroad.discovery.client import PlatformClient
 from shallotroad.observability.pause_watch import watch_pauses
 from shallotroad.observability.status_server import add_status_routes
 from shallotroad.observability.stop_signal import wait_for_stop
-from shallotroad.discovery.client import PlatformClient
 from shallotroad.protocol.config_delta import answer_pull
 from shallotroad.protocol.rpc import make_server
 
--- a/src/shallotroad/catalog/configuration.py
+++ b/src/shallotroad/catalog/configuration.py
@@ -7,6 +7,9 @@
 from typing import NamedTuple
 
 
+PATIENT_RATIO = 2.0  # of the shortest pause among a service's routes
+
+
 class CallKind(Enum):
     """What the back end's work allows."""
 
@@ -129,8 +132,25 @@
         self.requires_keys = bool(teams)
         self._team_by_key = {key: team for team in teams for key in team.keys}
         self._routes_by_host: dict[str, list[Route]] = {}
+        self._shortest_pause_ms: dict[str, float] = {}
         for route in sorted(routes, key=lambda r: -len(r.path_prefix)):
             self._routes_by_host.setdefault(route.host, []).append(route)
+            self._note_pause(route)
+
+    def _note_pause(self, route: Route) -> None:
+        if route.kind is not CallKind.STREAM or route.pause_ms <= 0:
+            return
+        for target in route.targets:
+            held_ms = self._shortest_pause_ms.get(target.service, route.pause_ms)
+            self._shortest_pause_ms[target.service] = min(held_ms, route.pause_ms)
+
+    def patient(self, route: Route, service: str) -> bool:
+        """Return whether a route's streams bear far longer pauses than others'.
+
+        The prompts of such routes are what makes the others' streams pause.
+        """
+        shortest_ms = self._shortest_pause_ms.get(service, 0.0)
+        return shortest_ms > 0 and route.pause_ms >= PATIENT_RATIO * shortest_ms
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix of a host."""
--- a/src/shallotroad/entry/factory.py
+++ b/src/shallotroad/entry/factory.py
@@ -14,6 +14,7 @@
 
 from shallotroad.config import keeper
 from shallotroad.config.revision_log import RevisionLog
+from shallotroad.discovery.client import PlatformClient
 from shallotroad.entry.directory import Directory
 from shallotroad.entry.dispatcher import Dispatcher
 from shallotroad.entry.exports import dump_entry
@@ -30,7 +31,6 @@
 from shallotroad.observability.pause_watch import watch_pauses
 from shallotroad.observability.status_server import add_status_routes
 from shallotroad.observability.stop_signal import wait_for_stop
-from shallotroad.discovery.client import PlatformClient
 from shallotroad.policy.affinity import PrefixHistory
 from shallotroad.policy.suspects import Suspects
 from shallotroad.protocol.config_delta import answer_pull
--- a/src/shallotroad/entry/peer_set.py
+++ b/src/shallotroad/entry/peer_set.py
@@ -17,9 +17,9 @@
     from collections.abc import Iterator
 
     from shallotroad.config.revision_log import RevisionLog
+    from shallotroad.discovery.client import Instance
     from shallotroad.entry.directory import Directory
     from shallotroad.entry.peer import Identity
-    from shallotroad.discovery.client import Instance
     from shallotroad.policy.suspects import Suspects
 
 HEARTBEATS_PER_S = 20.0
--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -22,6 +22,7 @@
     from shallotroad.gateway.fleet import Fleet
     from shallotroad.gateway.job import Job
     from shallotroad.gateway.membership import Membership
+    from shallotroad.platform.headers import PromptPart
     from shallotroad.policy.cold_start import ColdStart
     from shallotroad.policy.endpoint_load import EndpointLoad
 
@@ -29,6 +30,7 @@
 URGENT_BACKLOG_SHARE = (
     0.8  # of the objective; above it another engine or a wait is better
 )
+EXPRESS_AFTER_SHARE = 0.6  # of the objective; then a patient stream may go anywhere
 LAST_START_SHARE = 0.9  # of the time left; later there is no time to answer
 PUMP_S = 0.05
 MOST_WAITING = 2_000
@@ -54,8 +56,10 @@
         catalogue: Catalogue,
         membership: Membership,
         cold_start: ColdStart,
+        placed: Callable[[str, tuple[PromptPart, ...]], None],
         clock: Callable[[], float],
     ) -> None:
+        self._placed = placed
         self._fleet = fleet
         self._catalogue = catalogue
         self._membership = membership
@@ -105,7 +109,9 @@
 
     def _must_queue(self, job: Job) -> bool:
         return any(
-            w.job.service.name == job.service.name and w.job.tier <= job.tier
+            w.job.service.name == job.service.name
+            and w.job.patient == job.patient
+            and w.job.urgency <= job.urgency
             for w in self._waiting
         )
 
@@ -113,7 +119,7 @@
         """Place what waits, the most urgent tier first, then by objective."""
         if not self._waiting:
             return
-        order = sorted(self._waiting, key=lambda w: (w.job.tier, w.job.objective_s))
+        order = sorted(self._waiting, key=lambda w: w.job.urgency)
         for waiter in order:
             if waiter.placed.done():
                 continue
@@ -130,7 +136,8 @@
     def _try(self, job: Job) -> Candidate | None:
         now_s = self._clock()
         loads = self._fleet.usable(job, self._catalogue)
-        ranked = rank_engines(job.placing, loads, now_s)
+        express = self._fleet.express(job.service) if job.streams else frozenset()
+        ranked = rank_engines(job.placing, loads, now_s, express)
         for candidate in ranked:
             if self._has_room(job, candidate, now_s) and self._permitted(
                 job, candidate.load, now_s
@@ -138,6 +145,7 @@
                 candidate.load.begin(candidate.prefill_ms, now_s)
                 if job.service.engine is not None:
                     candidate.load.note_parts(job.placing.parts, now_s)
+                    self._placed(candidate.load.record.identifier, job.placing.parts)
                 return candidate
         return None
 
@@ -147,10 +155,13 @@
             return False
         if job.service.engine is None:
             return True
-        if job.tier == 0:
-            limit_ms = URGENT_BACKLOG_SHARE * job.route.objective_ms
-        else:
-            limit_ms = BACKLOG_MS
+        if job.patient and candidate.express:
+            waited_s = now_s - job.arrival_s
+            return (
+                candidate.backlog_ms <= 0
+                and waited_s * 1000 > EXPRESS_AFTER_SHARE * job.route.objective_ms
+            )
+        limit_ms = min(BACKLOG_MS, URGENT_BACKLOG_SHARE * job.route.objective_ms)
         return candidate.backlog_ms <= limit_ms
 
     def _permitted(self, job: Job, load: EndpointLoad, now_s: float) -> bool:
--- a/src/shallotroad/gateway/door.py
+++ b/src/shallotroad/gateway/door.py
@@ -80,6 +80,7 @@
         self._data_centre = data_centre
         self._clock = clock
         self.closing = False
+        self.refusing = False
         self.open_requests = 0
         self.counts: dict[str, int] = {}
 
@@ -129,7 +130,8 @@
             outcome, why = "broken", str(error)
             if request.transport is not None:
                 request.transport.close()
-            raise
+            assert stream.response is not None
+            return stream.response
         except ConnectionError as error:
             outcome, why = "left", repr(error)
             raise
@@ -176,6 +178,8 @@
         self, request: web.BaseRequest, decoded: CallerRequest, arrival_s: float
     ) -> Job:
         configuration = self._catalogue.configuration
+        if self.refusing:
+            raise RefusedError("the process is stopping", retry_after_s=0.0)
         if configuration is None:
             raise RefusedError(
                 "no configuration yet", retry_after_s=UNCONFIGURED_RETRY_S
@@ -209,6 +213,7 @@
             data_centre=self._data_centre,
             arrival_s=arrival_s,
             version=configuration.version,
+            patient=configuration.patient(route, target.name),
         )
 
     async def _read(self, request: web.BaseRequest, most: int) -> bytes:
--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -17,6 +17,8 @@
 from shallotroad.gateway.events import EventCutter
 from shallotroad.gateway.fleet import Fleet
 from shallotroad.gateway.forwarder import Forwarder
+from shallotroad.gateway.load_reports import LoadReports
+from shallotroad.gateway.load_reports import open_load_reports
 from shallotroad.gateway.membership import Membership
 from shallotroad.gateway.news import News
 from shallotroad.gateway.peers import Peers
@@ -47,6 +49,7 @@
     membership: Membership
     news: News
     peers: Peers
+    reports: LoadReports
     admission: Admission
     door: Door
 
@@ -64,11 +67,20 @@
         seeds=tuple(str(seed) for seed in settings.seeds),
     )
     news = News(store=store, catalogue=catalogue, clock=clock)
+    rng = random.Random()
+    reports = LoadReports(
+        port=settings.internal_ports[0],
+        fleet=fleet,
+        membership=membership,
+        clock=clock,
+        rng=rng,
+    )
     admission = Admission(
         fleet=fleet,
         catalogue=catalogue,
         membership=membership,
         cold_start=ColdStart(entry=settings.name),
+        placed=reports.placed,
         clock=clock,
     )
     forwarder = Forwarder(
@@ -85,11 +97,18 @@
         data_centre=settings.data_centre,
         clock=clock,
     )
-    peers = Peers(
-        membership=membership, fleet=fleet, news=news, clock=clock, rng=random.Random()
-    )
+    peers = Peers(membership=membership, news=news, clock=clock, rng=rng)
     return Parts(
-        settings, store, catalogue, fleet, membership, news, peers, admission, door
+        settings,
+        store,
+        catalogue,
+        fleet,
+        membership,
+        news,
+        peers,
+        reports,
+        admission,
+        door,
     )
 
 
@@ -129,6 +148,10 @@
     ]
     if settings.peers is not None:
         servers.append(await _listen(parts.peers.handle, settings.peers))
+    if settings.internal_ports[0]:
+        await open_load_reports(
+            parts.reports, settings.host, settings.internal_ports[0]
+        )
     background = [
         asyncio.create_task(job)
         for job in (
@@ -136,6 +159,7 @@
             parts.news.expire(),
             parts.admission.pump_regularly(),
             parts.peers.exchange_regularly(),
+            parts.reports.send_regularly(),
             write_lines(),
         )
     ]
@@ -171,6 +195,7 @@
     last_s = begun_s + parts.settings.bounds.grace_s - EXIT_RESERVE_S
     while time.monotonic() < last_s:
         lingered = time.monotonic() - begun_s > LINGER_S
+        door.refusing = lingered
         if lingered and door.open_requests == 0:
             return
         await asyncio.sleep(0.05)
--- a/src/shallotroad/gateway/fleet.py
+++ b/src/shallotroad/gateway/fleet.py
@@ -6,6 +6,7 @@
 
 from shallotroad.observability.decisions import decided
 from shallotroad.policy.endpoint_load import EndpointLoad
+from shallotroad.policy.placement import express_engines
 from shallotroad.upstream.pool import ConnectionPool
 
 
@@ -13,6 +14,7 @@
     from collections.abc import Callable
 
     from shallotroad.catalog.catalogue import Catalogue
+    from shallotroad.catalog.configuration import Service
     from shallotroad.catalog.endpoint import EndpointRecord
     from shallotroad.gateway.job import Job
 
@@ -93,6 +95,15 @@
         sound = [load for load in found if load.avoided_until_s <= now_s]
         return sound or found
 
+    def express(self, service: Service) -> frozenset[str]:
+        """Return the engines kept for streams that bear only short pauses."""
+        names = [
+            load.record.identifier
+            for load in self.loads.values()
+            if load.record.service == service.name and not load.record.draining
+        ]
+        return express_engines(service.name, names)
+
     def opened_connections(self) -> int:
         """Return the connections opened so far to known endpoints."""
         return sum(pool.opened for pool in self._pools.values())
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -45,6 +45,7 @@
 ONCE_IDLE_S = 1.0  # a request that runs once goes on recently used connections only
 REPEATABLE_IDLE_S = 3.0
 ENGINE_PRIORITIES = 10
+ROUTE_TIERS = 3  # engine priorities for each tier of teams
 SILENT_SHARE = 0.45  # of the time left; then a repeatable request goes elsewhere
 SHORTEST_SILENCE_S = 0.15
 
@@ -289,7 +290,7 @@
             team=job.team.name if job.team is not None else "",
             left_ms=(job.deadline_s - self._clock()) * 1000,
             engine_priority=(
-                min(ENGINE_PRIORITIES - 1, job.tier)
+                min(ENGINE_PRIORITIES - 1, ROUTE_TIERS * job.tier + job.route.tier)
                 if job.service.engine is not None
                 else None
             ),
--- a/src/shallotroad/gateway/job.py
+++ b/src/shallotroad/gateway/job.py
@@ -29,6 +29,7 @@
         data_centre: str,
         arrival_s: float,
         version: int,
+        patient: bool,
     ) -> None:
         self.request = request
         self.body = body
@@ -36,6 +37,7 @@
         self.service = service
         self.team = team
         self.version = version
+        self.patient = patient
         self.arrival_s = arrival_s
         limit_ms = route.timeout_ms
         self.timeout_s = arrival_s + limit_ms / 1000
@@ -49,12 +51,18 @@
             parts=request.parts,
             prompt_tokens=request.prompt_tokens,
             body_bytes=len(body),
+            patient=patient,
         )
         self.excluded: set[str] = set()
         self.attempts: list[str] = []
         self.runs = 0
         self.waited_ms = 0.0
 
+    @property
+    def urgency(self) -> tuple[int, int, float]:
+        """Order among waiting jobs: the team's tier, the route's, the objective."""
+        return (self.tier, self.route.tier, self.objective_s)
+
     @property
     def streams(self) -> bool:
         """Whether the answer is a series of events."""
--- /dev/null
+++ b/src/shallotroad/gateway/load_reports.py
@@ -0,0 +1,106 @@
+"""Small datagrams in which entries tell each other of their load.
+
+A lost datagram costs a little accuracy only: the next one holds the whole
+load again. What was placed where is told once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import cast
+
+import orjson
+from loguru import logger
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from shallotroad.gateway.fleet import Fleet
+    from shallotroad.gateway.membership import Membership
+    from shallotroad.platform.headers import PromptPart
+
+REPORT_S = 0.1
+MOST_PEERS = 8  # told in one round; more are told in turn, at random
+MOST_PLACEMENTS = 30  # in one datagram of about 1 KB
+NOTED_TOKENS = 200  # shorter parts are as fast to read as to tell of
+
+
+class LoadReports(asyncio.DatagramProtocol):
+    """Sends this entry's load and takes that of its peers."""
+
+    def __init__(
+        self,
+        *,
+        port: int,
+        fleet: Fleet,
+        membership: Membership,
+        clock: Callable[[], float],
+        rng: Random,
+    ) -> None:
+        self._port = port
+        self._fleet = fleet
+        self._membership = membership
+        self._clock = clock
+        self._rng = rng
+        self._transport: asyncio.DatagramTransport | None = None
+        self._placements: list[list[str]] = []
+        self._told_load = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast("asyncio.DatagramTransport", transport)
+
+    def placed(self, endpoint: str, parts: tuple[PromptPart, ...]) -> None:
+        """Tell the peers that an endpoint now caches the shared parts."""
+        shared = [p.identifier for p in parts[:-1] if p.tokens >= NOTED_TOKENS]
+        if shared and len(self._placements) < MOST_PLACEMENTS:
+            self._placements.append([endpoint, *shared])
+
+    def datagram_received(self, data: bytes, _: tuple[str | Any, int]) -> None:
+        """Take a peer's report."""
+        try:
+            sender, loads, placements = orjson.loads(data)
+            now_s = self._clock()
+            for identifier, load in self._fleet.loads.items():
+                running, backlog_ms = loads.get(identifier, (0, 0))
+                load.report(sender, int(running), float(backlog_ms), now_s)
+            for endpoint, *parts in placements:
+                known = self._fleet.loads.get(endpoint)
+                if known is not None:
+                    known.note_identifiers(parts, now_s)
+        except (AttributeError, TypeError, ValueError) as error:
+            logger.bind(why=repr(error)).warning("malformed load report")
+
+    def _report(self) -> bytes | None:
+        now_s = self._clock()
+        loads = {
+            identifier: [load.running, round(load.own_backlog_ms(now_s))]
+            for identifier, load in self._fleet.loads.items()
+            if load.running
+        }
+        if not loads and not self._placements and not self._told_load:
+            return None
+        self._told_load = bool(loads)
+        placements, self._placements = self._placements, []
+        return orjson.dumps([self._membership.name, loads, placements])
+
+    async def send_regularly(self) -> None:
+        """Report until cancelled."""
+        while True:
+            await asyncio.sleep(REPORT_S * self._rng.uniform(0.9, 1.1))
+            report = self._report()
+            if report is None or self._transport is None:
+                continue
+            hosts = self._membership.hosts(self._clock())
+            for host in self._rng.sample(hosts, min(MOST_PEERS, len(hosts))):
+                self._transport.sendto(report, (host, self._port))
+
+
+async def open_load_reports(reports: LoadReports, host: str, port: int) -> None:
+    """Bind the datagram socket."""
+    loop = asyncio.get_running_loop()
+    await loop.create_datagram_endpoint(lambda: reports, local_addr=(host, port))
--- a/src/shallotroad/gateway/membership.py
+++ b/src/shallotroad/gateway/membership.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from random import Random
 
-DEAD_S = 3.0  # several exchanges were missed
+DEAD_S = 4.0  # several exchanges were missed
 FORGET_S = 30.0
 
 
@@ -77,6 +77,14 @@
         ]
         return sorted([*names, self.name])
 
+    def hosts(self, now_s: float) -> list[str]:
+        """Return the IP addresses of the other live entries."""
+        return [
+            m.address.partition(":")[0]
+            for m in self._members.values()
+            if not m.left and now_s - m.heard_s < DEAD_S
+        ]
+
     def table(self) -> list[list[Any]]:
         """Return what this entry tells of the members."""
         own = [self.name, self.address, self._incarnation, self._beats, self._left]
--- a/src/shallotroad/gateway/peers.py
+++ b/src/shallotroad/gateway/peers.py
@@ -1,4 +1,4 @@
-"""The exchange between entries: members, loads, and documents one lacks."""
+"""The exchange between entries: members, and documents that one lacks."""
 
 from __future__ import annotations
 
@@ -20,12 +20,11 @@
     from collections.abc import Callable
     from random import Random
 
-    from shallotroad.gateway.fleet import Fleet
     from shallotroad.gateway.membership import Membership
     from shallotroad.gateway.news import News
 
-EXCHANGE_S = 0.25
-FAN_OUT = 4  # exchanges a round; each also brings what others told the peer
+EXCHANGE_S = 0.6
+FAN_OUT = 1  # exchanges a round; each also brings what others told the peer
 TIMEOUT_S = 0.5
 EXCHANGE_PATH = "/exchange"
 SNAPSHOT_PATH = "/snapshot"
@@ -56,30 +55,20 @@
         self,
         *,
         membership: Membership,
-        fleet: Fleet,
         news: News,
         clock: Callable[[], float],
         rng: Random,
     ) -> None:
         self._membership = membership
-        self._fleet = fleet
         self._news = news
         self._clock = clock
         self._rng = rng
         self._session: aiohttp.ClientSession | None = None
 
     def _state(self) -> bytes:
-        now_s = self._clock()
-        loads = {
-            identifier: [load.running, round(load.own_backlog_ms(now_s))]
-            for identifier, load in self._fleet.loads.items()
-            if load.running
-        }
         return orjson.dumps(
             {
-                "from": self._membership.name,
                 "members": self._membership.table(),
-                "loads": loads,
                 "revision": self._news.revision,
             }
         )
@@ -89,11 +78,6 @@
         now_s = self._clock()
         for name in self._membership.merge(state["members"], now_s):
             decided("peer found", peer=name)
-        sender = state["from"]
-        loads = state["loads"]
-        for identifier, load in self._fleet.loads.items():
-            running, backlog_ms = loads.get(identifier, (0, 0))
-            load.report(sender, running, backlog_ms, now_s)
         return state
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/src/shallotroad/observability/decisions.py
+++ b/src/shallotroad/observability/decisions.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import os
 import time
 from collections import deque
@@ -71,11 +72,22 @@
     BUFFER.add(orjson.dumps(line, default=str))
 
 
+class _Forwarded(logging.Handler):
+    """Hands the libraries' own records on, without tracebacks."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        error = repr(record.exc_info[1]) if record.exc_info else ""
+        logger.bind(source=record.name, why=error).log(
+            record.levelname, record.getMessage()
+        )
+
+
 def configure_decisions(*, process: str) -> None:
     """Send structured lines to standard output."""
     logger.remove()
     logger.configure(extra={"process": process})
     logger.add(_sink, level="INFO", format="{message}")
+    logging.basicConfig(handlers=[_Forwarded()], level=logging.WARNING, force=True)
 
 
 def decided(event: str, /, **inputs: object) -> None:
--- a/src/shallotroad/policy/endpoint_load.py
+++ b/src/shallotroad/policy/endpoint_load.py
@@ -153,9 +153,13 @@
 
     def note_parts(self, parts: Sequence[PromptPart], now_s: float) -> None:
         """Note that the parts are read there now."""
-        for part in parts:
-            self._parts[part.identifier] = now_s
-            self._parts.move_to_end(part.identifier)
+        self.note_identifiers([part.identifier for part in parts], now_s)
+
+    def note_identifiers(self, identifiers: Sequence[str], now_s: float) -> None:
+        """Note by identifier that parts are read there now."""
+        for identifier in identifiers:
+            self._parts[identifier] = now_s
+            self._parts.move_to_end(identifier)
         while len(self._parts) > MOST_PARTS:
             self._parts.popitem(last=False)
 
--- a/src/shallotroad/policy/placement.py
+++ b/src/shallotroad/policy/placement.py
@@ -21,9 +21,12 @@
 REREAD_MS_PER_TOKEN = 0.06  # three times the engine time that the reading takes
 CROWDING_MS = 2.0  # delay that each running request adds to a first event
 DISTANCE_MS = 6.0  # there and back to another data centre, with its transfer
-DISTANCE_MS_PER_KIB = 2.0  # bytes between data centres are scarce
+DISTANCE_MS_PER_KIB = 8.0  # bytes between data centres are scarce
 FAILURE_MS = 4_000.0  # what a certain failure costs
-HOME_SHARE = 0.9  # chance that the home of a prompt part has it cached
+HOME_SHARE = 0.03  # preference for a part's home; entries that act at once agree
+EXPRESS_SHARE = 1 / 3  # of the engines are kept clear of patient streams' prompts
+PATIENT_ON_EXPRESS_MS = 1_500.0
+URGENT_ON_BULK_MS = 400.0  # pauses that other streams' long prompts cause
 
 
 class Placing(NamedTuple):
@@ -33,6 +36,7 @@
     parts: tuple[PromptPart, ...]
     prompt_tokens: int
     body_bytes: int
+    patient: bool
 
 
 class Candidate(NamedTuple):
@@ -42,6 +46,7 @@
     cost_ms: float
     prefill_ms: float
     backlog_ms: float
+    express: bool = False
 
 
 @lru_cache(maxsize=65_536)
@@ -55,8 +60,23 @@
     return max(endpoints, key=lambda endpoint: _weight(part, endpoint))
 
 
+def express_engines(service: str, endpoints: Sequence[str]) -> frozenset[str]:
+    """Return the engines kept for streams that bear only short pauses.
+
+    Every entry draws the same ones, by rendezvous hashing.
+    """
+    if len(endpoints) < 2:
+        return frozenset()
+    count = max(1, round(EXPRESS_SHARE * len(endpoints)))
+    ranked = sorted(endpoints, key=lambda e: _weight(service, e), reverse=True)
+    return frozenset(ranked[:count])
+
+
 def rank_engines(
-    placing: Placing, loads: Sequence[EndpointLoad], now_s: float
+    placing: Placing,
+    loads: Sequence[EndpointLoad],
+    now_s: float,
+    express: frozenset[str] = frozenset(),
 ) -> list[Candidate]:
     """Return the engines with their costs, the cheapest first."""
     if not loads:
@@ -80,6 +100,9 @@
         cost_ms += FAILURE_MS * load.failure_share(now_s)
         if record.data_centre != placing.data_centre:
             cost_ms += DISTANCE_MS + DISTANCE_MS_PER_KIB * placing.body_bytes / 1024
-        ranked.append(Candidate(load, cost_ms, prefill_ms, backlog_ms))
+        reserved = record.identifier in express
+        if express and placing.patient == reserved:
+            cost_ms += PATIENT_ON_EXPRESS_MS if reserved else URGENT_ON_BULK_MS
+        ranked.append(Candidate(load, cost_ms, prefill_ms, backlog_ms, reserved))
     ranked.sort(key=lambda candidate: candidate.cost_ms)
     return ranked
