--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -149,23 +149,27 @@
         express = self._fleet.express(job.service) if job.streams else frozenset()
         ranked = rank_engines(job.placing, loads, now_s, express)
         for candidate in ranked:
-            if self._has_room(job, candidate, now_s) and self._permitted(
-                job, candidate.load, now_s
-            ):
-                due_s = candidate.load.begin(
-                    candidate.prefill_ms, now_s, urgent=job.urgent
-                )
-                if job.service.engine is not None:
-                    candidate.load.memory_tokens = job.service.engine.memory_tokens
-                    candidate.load.note_parts(job.placing.parts)
-                    self._placed(candidate.load.record.identifier, job.placing.parts)
-                return candidate._replace(due_s=due_s)
+            load = candidate.load
+            if load.all_running(now_s) >= load.record.slots:
+                continue
+            if not self._has_room(job, candidate, now_s):
+                # The cost counts the wait: elsewhere would cost still more.
+                return None
+            if self._permitted(job, load, now_s):
+                return self._begin(job, candidate, now_s)
         return None
 
+    def _begin(self, job: Job, candidate: Candidate, now_s: float) -> Candidate:
+        load = candidate.load
+        due_s = load.begin(candidate.prefill_ms, now_s, urgent=job.urgent)
+        if job.service.engine is not None:
+            load.memory_tokens = job.service.engine.memory_tokens
+            load.note_parts(job.placing.parts)
+            self._placed(load.record.identifier, job.placing.parts)
+        return candidate._replace(due_s=due_s)
+
     def _has_room(self, job: Job, candidate: Candidate, now_s: float) -> bool:
         load = candidate.load
-        if load.all_running(now_s) >= load.record.slots:
-            return False
         if job.service.engine is None:
             return True
         if job.patient and candidate.express:
--- a/src/shallotroad/policy/placement.py
+++ b/src/shallotroad/policy/placement.py
@@ -21,7 +21,7 @@
     from shallotroad.platform.headers import PromptPart
     from shallotroad.policy.endpoint_load import EndpointLoad
 
-REREAD_MS_PER_TOKEN = 0.15  # reading twice takes time that waiting prompts need
+REREAD_MS_PER_TOKEN = 0.08  # reading twice takes time that waiting prompts need
 CROWDING_MS = 2.0  # delay that each running request adds to a first event
 DISTANCE_MS = 6.0  # there and back to another data centre, with its transfer
 DISTANCE_MS_PER_KIB = 8.0  # bytes between data centres are scarce
