Split the engines by the recent work of urgent and patient streams

Change: the share follows the recent engine time of both kinds, told in the load reports. The finished line now carries the inputs of each choice.

--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -105,7 +105,6 @@
                     candidate.due_s,
                     started=False,
                     now_s=self._clock(),
-                    urgent=job.urgent,
                 )
             raise
         finally:
@@ -161,7 +160,8 @@
 
     def _begin(self, job: Job, candidate: Candidate, now_s: float) -> Candidate:
         load = candidate.load
-        due_s = load.begin(candidate.prefill_ms, now_s, urgent=job.urgent)
+        tokens = job.expected_tokens if job.urgent else 0
+        due_s = load.begin(candidate.prefill_ms, now_s, urgent_tokens=tokens)
         if job.service.engine is not None:
             load.memory_tokens = job.service.engine.memory_tokens
             load.note_parts(job.placing.parts)
--- a/src/shallotroad/gateway/door.py
+++ b/src/shallotroad/gateway/door.py
@@ -167,7 +167,8 @@
                 "tier": job.tier,
                 "version": job.version,
                 "waited_ms": round(job.waited_ms, 1),
-                "endpoints": job.attempts,
+                "attempts": job.choices,
+                "parts": [p for p in job.request.parts[:-1]],
                 "tokens": job.request.prompt_tokens,
             }
         if stream.started_s:
--- a/src/shallotroad/gateway/fleet.py
+++ b/src/shallotroad/gateway/fleet.py
@@ -18,8 +18,6 @@
     from shallotroad.catalog.endpoint import EndpointRecord
     from shallotroad.gateway.job import Job
 
-URGENT_HALF_LIFE_S = 3.0  # the demand for express engines falls this slowly
-
 
 class Fleet:
     """Loads and connection pools by endpoint."""
@@ -32,7 +30,6 @@
         self._started_s = started_s
         self.loads: dict[str, EndpointLoad] = {}
         self._pools: dict[str, ConnectionPool] = {}
-        self._urgent: dict[str, tuple[float, float]] = {}
         self.changed: Callable[[], None] = lambda: None
 
     def put(self, record: EndpointRecord) -> None:
@@ -107,13 +104,13 @@
             if load.record.service == service.name and not load.record.draining
         ]
         names = [load.record.identifier for load in loads]
-        urgent = float(sum(load.all_urgent(now_s) for load in loads))
-        held, held_s = self._urgent.get(service.name, (0.0, now_s))
-        fallen = held * 0.5 ** ((now_s - held_s) / URGENT_HALF_LIFE_S)
-        urgent = max(urgent, fallen)
-        self._urgent[service.name] = (urgent, now_s)
-        slots = min((load.record.slots for load in loads), default=1)
-        return express_engines(service.name, names, urgent=urgent, slots=slots)
+        works = [load.recent_work_ms(now_s) for load in loads]
+        return express_engines(
+            service.name,
+            names,
+            urgent_ms=sum(urgent for urgent, _ in works),
+            patient_ms=sum(patient for _, patient in works),
+        )
 
     def opened_connections(self) -> int:
         """Return the connections opened so far to known endpoints."""
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -217,6 +217,7 @@
         load = candidate.load
         identifier = load.record.identifier
         job.attempts.append(identifier)
+        job.choices.append(candidate.inputs())
         pool = self._fleet.pool(identifier)
         progress = Progress(load=load, due_s=candidate.due_s)
         connection: EndpointConnection | None = None
@@ -272,7 +273,6 @@
                 candidate.due_s,
                 started=bool(progress.started_s),
                 now_s=now_s,
-                urgent=job.urgent,
             )
             self._admission.pump()
 
--- a/src/shallotroad/gateway/job.py
+++ b/src/shallotroad/gateway/job.py
@@ -55,6 +55,7 @@
         )
         self.excluded: set[str] = set()
         self.attempts: list[str] = []
+        self.choices: list[dict[str, object]] = []
         self.runs = 0
         self.waited_ms = 0.0
 
@@ -71,6 +72,12 @@
         """Whether its stream bears only short pauses."""
         return self.streams and not self.patient
 
+    @property
+    def expected_tokens(self) -> int:
+        """Expected tokens of the answer: the caller's estimate, or half the most."""
+        hint = self.request.output_hint_tokens
+        return max(1, hint or self.request.output_tokens // 2)
+
     @property
     def streams(self) -> bool:
         """Whether the answer is a series of events."""
--- a/src/shallotroad/policy/endpoint_load.py
+++ b/src/shallotroad/policy/endpoint_load.py
@@ -22,6 +22,8 @@
 READING_SHARE = 0.65  # of an engine's time; more starves the running streams
 CACHE_SHARE = 0.75  # of an engine's memory; running requests hold the rest
 FAILURE_HALF_LIFE_S = 3.0
+WORK_HALF_LIFE_S = 4.0  # of the recent work that splits the engines
+URGENT_TOKEN_MS = 0.4  # of an engine's time for a token beside thirty others
 PEER_LOAD_TTL_S = 1.5
 MOST_PARTS = 4096
 
@@ -33,16 +35,17 @@
     ----------
     running : int
         Requests that it has there.
-    urgent : int
-        Those among them whose streams bear only short pauses.
+    urgent_ms : float
+        Engine time of all streams ever sent there that bear only short
+        pauses; only grows.
     backlog_ms : float
         Time to read its prompts that wait there.
     placed_ms : float
-        Time to read all prompts that it ever sent there; only grows.
+        Time to read all other prompts ever sent there; only grows.
     """
 
     running: int
-    urgent: int
+    urgent_ms: float
     backlog_ms: float
     placed_ms: float
 
@@ -64,7 +67,10 @@
         self.seen_s = now_s
         self.cold_until_s = 0.0
         self.slowness = 1.0
-        self.urgent = 0
+        self._urgent_ms = 0.0
+        self._urgent_work_ms = 0.0
+        self._patient_work_ms = 0.0
+        self._worked_s = now_s
         self._idle_at_s = now_s
         self._placed_ms = 0.0
         self._due_s: list[float] = []
@@ -81,9 +87,21 @@
 
     # Work
 
-    def begin(self, prefill_ms: float, now_s: float, *, urgent: bool = False) -> float:
+    def begin(
+        self, prefill_ms: float, now_s: float, *, urgent_tokens: int = 0
+    ) -> float:
         """Note a request that is sent; its prompt joins the backlog.
 
+        Parameters
+        ----------
+        prefill_ms : float
+            Time to read its prompt.
+        now_s : float
+            Monotonic time in seconds.
+        urgent_tokens : int
+            Expected tokens of the answer, where its stream bears only short
+            pauses; 0 otherwise.
+
         Returns
         -------
         float
@@ -91,9 +109,14 @@
             names it by this.
         """
         self.running += 1
-        self.urgent += urgent
         self.unstarted += 1
-        self._placed_ms += prefill_ms
+        if urgent_tokens:
+            work_ms = prefill_ms + URGENT_TOKEN_MS * urgent_tokens
+            self._urgent_ms += work_ms
+            self._note_work(now_s, urgent_ms=work_ms, patient_ms=0.0)
+        else:
+            self._placed_ms += prefill_ms
+            self._note_work(now_s, urgent_ms=0.0, patient_ms=prefill_ms)
         self._debt_ms = self.debt_ms(now_s) + prefill_ms
         self._idle_at_s = max(now_s, self._idle_at_s) + prefill_ms / 1000.0
         due_s = self._idle_at_s + FIRST_EVENT_MS / 1000.0
@@ -107,12 +130,9 @@
         if self.unstarted == 0:
             self._idle_at_s = now_s
 
-    def end(
-        self, due_s: float, *, started: bool, now_s: float, urgent: bool = False
-    ) -> None:
+    def end(self, due_s: float, *, started: bool, now_s: float) -> None:
         """Note the end of a request."""
         self.running -= 1
-        self.urgent -= urgent
         if not started:
             self.start(due_s, now_s)
 
@@ -139,14 +159,18 @@
     def own_report(self, now_s: float) -> LoadReport:
         """Return what peers need to know."""
         backlog_ms = round(self.own_backlog_ms(now_s))
-        return LoadReport(self.running, self.urgent, backlog_ms, round(self._placed_ms))
+        return LoadReport(
+            self.running, round(self._urgent_ms), backlog_ms, round(self._placed_ms)
+        )
 
     def report(self, peer: str, load: LoadReport, now_s: float) -> None:
         """Take a peer's report of its own work here."""
         held = self._peers.get(peer)
-        if held is not None and load.placed_ms > held.load.placed_ms:
-            grown_ms = load.placed_ms - held.load.placed_ms
-            self._debt_ms = self.debt_ms(now_s) + grown_ms
+        if held is not None:
+            placed_ms = max(0.0, load.placed_ms - held.load.placed_ms)
+            urgent_ms = max(0.0, load.urgent_ms - held.load.urgent_ms)
+            self._debt_ms = self.debt_ms(now_s) + placed_ms
+            self._note_work(now_s, urgent_ms=urgent_ms, patient_ms=placed_ms)
         self._peers[peer] = PeerLoad(load, now_s)
 
     def _fresh(self, now_s: float) -> list[PeerLoad]:
@@ -166,9 +190,16 @@
         """Return the requests of all entries that are known to run there."""
         return self.running + sum(r.load.running for r in self._fresh(now_s))
 
-    def all_urgent(self, now_s: float) -> int:
-        """Return those among them whose streams bear only short pauses."""
-        return self.urgent + sum(r.load.urgent for r in self._fresh(now_s))
+    def _note_work(self, now_s: float, *, urgent_ms: float, patient_ms: float) -> None:
+        factor = math.exp2(-(now_s - self._worked_s) / WORK_HALF_LIFE_S)
+        self._worked_s = now_s
+        self._urgent_work_ms = self._urgent_work_ms * factor + urgent_ms
+        self._patient_work_ms = self._patient_work_ms * factor + patient_ms
+
+    def recent_work_ms(self, now_s: float) -> tuple[float, float]:
+        """Return the recent work of urgent and of patient streams placed here."""
+        self._note_work(now_s, urgent_ms=0.0, patient_ms=0.0)
+        return self._urgent_work_ms, self._patient_work_ms
 
     # Pace
 
--- a/src/shallotroad/policy/placement.py
+++ b/src/shallotroad/policy/placement.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import hashlib
-import math
 from functools import lru_cache
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -27,9 +26,8 @@
 DISTANCE_MS_PER_KIB = 8.0  # bytes between data centres are scarce
 FAILURE_MS = 4_000.0  # what a certain failure costs; falls with the share's square
 HOME_SHARE = 0.8  # preference for a part's home while nobody is known to cache it
-LEAST_EXPRESS_SHARE = 0.25  # of the engines, kept clear of patient streams' prompts
-MOST_EXPRESS_SHARE = 0.67
-EXPRESS_FILL = 0.5  # of the slots; fuller engines make slower steps
+MOST_EXPRESS_SHARE = 0.67  # of the engines, kept clear of patient streams' prompts
+EXPRESS_HEADROOM = 1.5  # times the work of urgent streams; they must not queue
 PATIENT_ON_EXPRESS_MS = 1_500.0
 URGENT_ON_BULK_MS = 400.0  # pauses that other streams' long prompts cause
 
@@ -54,9 +52,23 @@
     cost_ms: float
     prefill_ms: float
     backlog_ms: float
+    cached_tokens: int = 0
     express: bool = False
     due_s: float = 0.0
 
+    def inputs(self) -> dict[str, object]:
+        """Return what decided for this engine, for the logs."""
+        return {
+            "endpoint": self.load.record.identifier,
+            "cost_ms": round(self.cost_ms),
+            "backlog_ms": round(self.backlog_ms),
+            "prefill_ms": round(self.prefill_ms),
+            "cached": self.cached_tokens,
+            "express": self.express,
+            "running": self.load.running,
+            "slowness": round(self.load.slowness, 2),
+        }
+
 
 @lru_cache(maxsize=65_536)
 def _weight(part: str, endpoint: str) -> int:
@@ -70,19 +82,19 @@
 
 
 def express_engines(
-    service: str, endpoints: Sequence[str], *, urgent: float, slots: int
+    service: str, endpoints: Sequence[str], *, urgent_ms: float, patient_ms: float
 ) -> frozenset[str]:
     """Return the engines kept for streams that bear only short pauses.
 
     Every entry draws the same ones, by rendezvous hashing; their number
-    follows the urgent streams that run.
+    follows the share of urgent streams in the recent work.
     """
     if len(endpoints) < 2:
         return frozenset()
-    least = max(1, round(LEAST_EXPRESS_SHARE * len(endpoints)))
     most = max(1, min(len(endpoints) - 1, int(MOST_EXPRESS_SHARE * len(endpoints))))
-    wanted = math.ceil(urgent / (EXPRESS_FILL * max(1, slots)))
-    count = min(most, max(least, wanted))
+    urgent_ms *= EXPRESS_HEADROOM
+    share = urgent_ms / max(1.0, urgent_ms + patient_ms)
+    count = min(most, max(1, round(share * len(endpoints))))
     ranked = sorted(endpoints, key=lambda e: _weight(service, e), reverse=True)
     return frozenset(ranked[:count])
 
@@ -124,6 +136,8 @@
         reserved = record.identifier in express
         if express and placing.patient == reserved:
             cost_ms += PATIENT_ON_EXPRESS_MS if reserved else URGENT_ON_BULK_MS
-        ranked.append(Candidate(load, cost_ms, prefill_ms, backlog_ms, reserved))
+        ranked.append(
+            Candidate(load, cost_ms, prefill_ms, backlog_ms, cached, reserved)
+        )
     ranked.sort(key=lambda candidate: candidate.cost_ms)
     return ranked
