--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -27,7 +27,8 @@
     from shallotroad.policy.endpoint_load import EndpointLoad
 
 BACKLOG_MS = 350.0  # prompts an engine may have waiting before less urgent work waits
-DEBT_MS = 1200.0  # reading time ahead of its share at which patient prompts wait
+DEBT_GROWTH = 0.6  # of the time waited; no prompt waits long for a quiet engine
+DEBT_MS = 400.0  # reading time ahead of its share at which patient prompts wait
 URGENT_BACKLOG_SHARE = (
     0.8  # of the objective; above it another engine or a wait is better
 )
@@ -162,13 +163,14 @@
         load = candidate.load
         if job.service.engine is None:
             return True
+        waited_ms = (now_s - job.arrival_s) * 1000
         if job.patient and candidate.express:
-            waited_s = now_s - job.arrival_s
             return (
                 candidate.backlog_ms <= 0
-                and waited_s * 1000 > EXPRESS_AFTER_SHARE * job.route.objective_ms
+                and waited_ms > EXPRESS_AFTER_SHARE * job.route.objective_ms
             )
-        if job.patient and load.debt_ms(now_s) > DEBT_MS:
+        debt_limit_ms = DEBT_MS + DEBT_GROWTH * waited_ms
+        if job.patient and load.debt_ms(now_s) > debt_limit_ms:
             return False
         limit_ms = min(BACKLOG_MS, URGENT_BACKLOG_SHARE * job.route.objective_ms)
         return candidate.backlog_ms <= limit_ms
