--- a/src/shallotroad/policy/placement.py
+++ b/src/shallotroad/policy/placement.py
@@ -20,12 +20,12 @@
     from shallotroad.platform.headers import PromptPart
     from shallotroad.policy.endpoint_load import EndpointLoad
 
-REREAD_MS_PER_TOKEN = 0.08  # reading twice takes time that waiting prompts need
+REREAD_MS_PER_TOKEN = 0.2  # reading twice takes time that waiting prompts need
 CROWDING_MS = 2.0  # delay that each running request adds to a first event
 DISTANCE_MS = 6.0  # there and back to another data centre, with its transfer
 DISTANCE_MS_PER_KIB = 8.0  # bytes between data centres are scarce
 FAILURE_MS = 4_000.0  # what a certain failure costs; falls with the share's square
-HOME_SHARE = 0.8  # preference for a part's home while nobody is known to cache it
+HOME_SHARE = 0.15  # preference for a part's home while nobody is known to cache it
 MOST_EXPRESS_SHARE = 0.67  # of the engines, kept clear of patient streams' prompts
 EXPRESS_HEADROOM = 1.5  # times the work of urgent streams; they must not queue
 PATIENT_ON_EXPRESS_MS = 1_500.0
