--- /dev/null
+++ b/devtools/machine_standins.py
@@ -0,0 +1,289 @@
+"""Stand-ins of the users' machines: the store and endpoints with faults.
+
+They run inside a test's own event loop and speak just enough of the
+platform's protocol for a gateway process to be tested against them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+from aiohttp import web
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+HOST = "127.0.0.1"
+EVENT_PAUSE_S = 0.05
+
+
+class StoreStandin:
+    """A store that lists and watches; history and outages are the test's."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.items: dict[str, tuple[int, Any]] = {}
+        self.changes: list[tuple[int, str, Any]] = []
+        self.down = False
+        self.oldest = 0
+        self._changed = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+        self.port = 0
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        app = web.Application()
+        app.router.add_get("/api/kv-range", self._range)
+        app.router.add_get("/api/kv-watch", self._watch)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, HOST, 0)
+        await site.start()
+        self.port = self._runner.addresses[0][1]
+
+    async def close(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def put(self, key: str, value: Any) -> None:
+        """Write a document; None removes it."""
+        self.revision += 1
+        if value is None:
+            self.items.pop(key, None)
+        else:
+            self.items[key] = (self.revision, value)
+        self.changes.append((self.revision, key, value))
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    def forget_history(self) -> None:
+        """Drop the history, as a compaction does."""
+        self.oldest = self.revision
+
+    @staticmethod
+    def _row(key: str, revision: int, value: Any) -> dict[str, Any]:
+        if value is None:
+            return {"key": key, "revision": revision, "removed": True}
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        encoded = base64.b64encode(raw).decode()
+        return {"key": key, "revision": revision, "value": encoded, "lease": 0}
+
+    async def _range(self, _: web.Request) -> web.Response:
+        if self.down:
+            return web.Response(status=503)
+        items = [self._row(k, r, v) for k, (r, v) in sorted(self.items.items())]
+        body = {"items": items, "truncated": False, "store-revision": self.revision}
+        return web.json_response(body)
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        after = int(request.query["after"])
+        if self.down:
+            return web.Response(status=503)
+        if after < self.oldest:
+            return web.Response(status=410)
+        if after >= self.revision:
+            try:
+                async with asyncio.timeout(int(request.query["wait-ms"]) / 1000):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+        events = [self._row(k, r, v) for r, k, v in self.changes if r > after]
+        return web.json_response({"events": events, "store-revision": self.revision})
+
+
+class Seen(NamedTuple):
+    """One request as an endpoint saw it."""
+
+    request_id: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class EndpointStandin:
+    """An endpoint whose answers a test sets.
+
+    ``mode`` is one of ``ok``, ``stream``, ``cut`` (half a stream, then a
+    reset), ``reset`` (no answer), ``mute``, ``full`` (states not run),
+    ``late`` (a second answer after the first), ``unsigned`` and ``error``.
+    """
+
+    def __init__(self, *, name: str, service: str, mode: str = "ok") -> None:
+        self.name = name
+        self.service = service
+        self.mode = mode
+        self.events = 6
+        self.seen: list[Seen] = []
+        self.cancelled = 0
+        self.port = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    def announcement(self, **changes: Any) -> dict[str, Any]:
+        """Return what the endpoint writes to the store."""
+        return {
+            "service": self.service,
+            "address": f"{HOST}:{self.port}",
+            "zone": "a",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold-remaining-ms": 0,
+            "sequence": 1,
+            "born": 1,
+            **changes,
+        }
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                first, *lines = head.strip().split("\r\n")
+                headers = {
+                    name.lower(): value.strip()
+                    for name, _, value in (line.partition(":") for line in lines)
+                }
+                body = await reader.readexactly(int(headers.get("content-length", 0)))
+                request_id = headers.get("x-request-id", "")
+                seen = Seen(request_id, first.split(" ")[1], headers, body)
+                self.seen.append(seen)
+                if not await self._answer(seen, writer):
+                    writer.transport.abort()
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.cancelled += 1
+        finally:
+            writer.close()
+
+    def _head(self, seen: Seen, status: str, extra: str) -> bytes:
+        text = f"HTTP/1.1 {status}\r\nX-Request-Id: {seen.request_id}\r\n{extra}\r\n"
+        return text.encode()
+
+    async def _answer(self, seen: Seen, writer: asyncio.StreamWriter) -> bool:
+        signature = f"X-Replica-Signature: {self.name}\r\n"
+        expected = seen.headers.get("x-expect-replica", self.name)
+        if expected != self.name:
+            extra = "Content-Length: 0\r\n"
+            writer.write(self._head(seen, "421 Misdirected", extra))
+            return True
+        if self.mode == "full":
+            extra = "X-Not-Executed: 1\r\nContent-Length: 0\r\n"
+            writer.write(self._head(seen, "503 Unavailable", extra))
+            return True
+        if self.mode == "reset":
+            return False
+        if self.mode == "mute":
+            await asyncio.sleep(60)
+            return False
+        if self.mode in ("stream", "cut"):
+            return await self._stream(seen, writer, signature)
+        if self.mode == "unsigned":
+            signature = ""
+        body = f"{self.name} {seen.request_id}".encode()
+        status = "500 Error" if self.mode == "error" else "200 OK"
+        extra = f"{signature}Content-Length: {len(body)}\r\n"
+        whole = self._head(seen, status, extra) + body
+        writer.write(whole)
+        if self.mode == "late":
+            await asyncio.sleep(0.05)
+            writer.write(whole)
+        return True
+
+    async def _stream(
+        self, seen: Seen, writer: asyncio.StreamWriter, signature: str
+    ) -> bool:
+        extra = (
+            f"{signature}Content-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n"
+        )
+        writer.write(self._head(seen, "200 OK", extra))
+        first = int(seen.headers.get("last-event-id", 0)) + 1
+        for number in range(first, self.events + 1):
+            event = f"id: {number}\ndata: {seen.request_id}-{number}\n\n".encode()
+            if self.mode == "cut" and number == first + 2:
+                half = event[: len(event) // 2]
+                writer.write(f"{len(half):x}\r\n".encode() + half + b"\r\n")
+                await writer.drain()
+                await asyncio.sleep(EVENT_PAUSE_S)
+                return False
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(EVENT_PAUSE_S)
+            if writer.transport.is_closing():
+                raise ConnectionResetError
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
+class RouteSpec(NamedTuple):
+    """A route of the stand-in configuration."""
+
+    prefix: str
+    kind: str
+    service: str
+    timeout_ms: int = 3000
+    attempts: int = 2
+    resumable: bool = False
+
+
+def make_published(
+    version: int, routes: list[RouteSpec], keys: dict[str, str]
+) -> dict[str, Any]:
+    """Return a configuration as operators publish it."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": f"r{number}",
+                "host": "clinic.example",
+                "prefix": route.prefix,
+                "route-type": route.kind,
+                "timeout-ms": route.timeout_ms,
+                "target-latency-ms": 500,
+                "priority": 0,
+                "service": route.service,
+                "max-attempts": route.attempts,
+                "public": False,
+                "stream-resume": route.resumable,
+                "gap-aim-ms": 500,
+            }
+            for number, route in enumerate(routes)
+        ],
+        "services": [
+            {"name": name, "health-path": "/healthz", "max-connections": 50}
+            for name in sorted({route.service for route in routes})
+        ],
+        "limits": {"max-header-bytes": 16384, "max-body-bytes": 65536},
+        "tenants": [{"name": team, "api-keys": [key]} for key, team in keys.items()],
+    }
+
+
+async def until(condition: Callable[[], bool], timeout_s: float = 5.0) -> None:
+    """Wait for a condition.
+
+    Raises
+    ------
+    TimeoutError
+        When it does not come true in time.
+    """
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.02)
--- a/src/shallotroad/gateway/load_reports.py
+++ b/src/shallotroad/gateway/load_reports.py
@@ -92,16 +92,20 @@
         placements, self._placements = self._placements, []
         return orjson.dumps([self._membership.name, loads, placements])
 
+    def send(self) -> None:
+        """Report to some peers, unless there is nothing to tell."""
+        report = self._report()
+        if report is None or self._transport is None:
+            return
+        hosts = self._membership.hosts(self._clock())
+        for host in self._rng.sample(hosts, min(MOST_PEERS, len(hosts))):
+            self._transport.sendto(report, (host, self._port))
+
     async def send_regularly(self) -> None:
         """Report until cancelled."""
         while True:
             await asyncio.sleep(REPORT_S * self._rng.uniform(0.9, 1.1))
-            report = self._report()
-            if report is None or self._transport is None:
-                continue
-            hosts = self._membership.hosts(self._clock())
-            for host in self._rng.sample(hosts, min(MOST_PEERS, len(hosts))):
-                self._transport.sendto(report, (host, self._port))
+            self.send()
 
 
 async def open_load_reports(reports: LoadReports, host: str, port: int) -> None:
--- a/src/shallotroad/gateway/main.py
+++ b/src/shallotroad/gateway/main.py
@@ -1,22 +1,34 @@
-"""Starts a gateway with the settings of its machine."""
+"""Starts a gateway with the settings of its machine.
+
+The signal handlers are in place before anything heavy is imported, so that a
+process that is told to leave while it starts still ends in order.
+"""
 
 from __future__ import annotations
 
-import asyncio
 import signal
 import sys
 
-import uvloop
 
-from shallotroad.gateway.factory import serve
-from shallotroad.observability.decisions import BUFFER
-from shallotroad.observability.decisions import configure_decisions
-from shallotroad.observability.decisions import decided
-from shallotroad.platform.exceptions import SettingsError
-from shallotroad.platform.settings import read_settings
+EARLY: list[int] = []
+
+
+def _note_early(number: int, _: object) -> None:
+    EARLY.append(number)
+
+
+for early in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+    signal.signal(early, _note_early)
 
 
-async def _run(stop_early: list[int]) -> None:
+async def _run() -> None:
+    import asyncio
+
+    from shallotroad.gateway.factory import serve
+    from shallotroad.observability.decisions import configure_decisions
+    from shallotroad.observability.decisions import decided
+    from shallotroad.platform.settings import read_settings
+
     settings = read_settings()
     configure_decisions(process=settings.name)
     stop = asyncio.Event()
@@ -24,18 +36,20 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: decided("settings changed"))
-    if stop_early:
+    if signal.SIGTERM in EARLY or signal.SIGINT in EARLY:
         stop.set()
     await serve(settings, stop)
 
 
 def main() -> None:
     """Run until told to stop."""
-    stop_early: list[int] = []
-    for number in (signal.SIGTERM, signal.SIGHUP):
-        signal.signal(number, lambda n, _: stop_early.append(n))
+    import uvloop
+
+    from shallotroad.observability.decisions import BUFFER
+    from shallotroad.platform.exceptions import SettingsError
+
     try:
-        uvloop.run(_run(stop_early))
+        uvloop.run(_run())
     except SettingsError as error:
         sys.stderr.write(f"settings: {error}\n")
         sys.exit(2)
--- a/src/shallotroad/platform/headers.py
+++ b/src/shallotroad/platform/headers.py
@@ -172,8 +172,8 @@
     method: str, target: str, raw: Iterable[tuple[bytes, bytes]]
 ) -> CallerRequest:
     """Decode a caller's request head."""
-    pairs = [(name.lower(), value) for name, value in raw]
-    headers = dict(pairs)
+    pairs = list(raw)
+    headers = {name.lower(): value for name, value in pairs}
     kept_back = PER_CONNECTION | SET_BY_ROUTER | _nominated(headers)
     usage = headers.get(TOKENS, b"").split(b",")
     deadline = headers.get(DEADLINE)
@@ -191,7 +191,7 @@
         parts=_parts(headers.get(PROMPT_PARTS, b"")),
         last_event=headers.get(LAST_EVENT, b"").decode("latin-1"),
         body_expected_later=headers.get(b"expect", b"").lower() == b"100-continue",
-        forwarded=tuple((n, v) for n, v in pairs if n not in kept_back),
+        forwarded=tuple((n, v) for n, v in pairs if n.lower() not in kept_back),
     )
 
 
@@ -223,8 +223,8 @@
 
 def decode_answer(status: int, raw: Iterable[tuple[bytes, bytes]]) -> AnswerHead:
     """Decode the head of an endpoint's answer."""
-    pairs = [(name.lower(), value) for name, value in raw]
-    headers = dict(pairs)
+    pairs = list(raw)
+    headers = {name.lower(): value for name, value in pairs}
     length = headers.get(b"content-length")
     nominated = _nominated(headers)
     idle_timeout_s = None
@@ -245,5 +245,5 @@
         closes=b"close" in nominated,
         encoded=b"content-encoding" in headers,
         event_stream=headers.get(b"content-type", b"").startswith(b"text/event-stream"),
-        forwarded=tuple((n, v) for n, v in pairs if n not in kept_back),
+        forwarded=tuple((n, v) for n, v in pairs if n.lower() not in kept_back),
     )
--- /dev/null
+++ b/tests/gateway_builders.py
@@ -0,0 +1,189 @@
+from __future__ import annotations
+
+import random
+from typing import Any
+from typing import NamedTuple
+
+from shallotroad.catalog.catalogue import Catalogue
+from shallotroad.catalog.configuration import CallKind
+from shallotroad.catalog.configuration import Configuration
+from shallotroad.catalog.configuration import Engine
+from shallotroad.catalog.configuration import Limits
+from shallotroad.catalog.configuration import Route
+from shallotroad.catalog.configuration import Service
+from shallotroad.catalog.configuration import Target
+from shallotroad.catalog.configuration import Team
+from shallotroad.catalog.endpoint import EndpointRecord
+from shallotroad.gateway.admission import Admission
+from shallotroad.gateway.fleet import Fleet
+from shallotroad.gateway.job import Job
+from shallotroad.gateway.membership import Membership
+from shallotroad.platform.headers import CallerRequest
+from shallotroad.platform.headers import PromptPart
+from shallotroad.policy.cold_start import ColdStart
+from shallotroad.policy.endpoint_load import EndpointLoad
+
+
+ENGINE = Engine(
+    batch_slots=64, memory_tokens=500_000, tokens_per_event=4, event_waiters=12
+)
+ENTRIES = ("entry-1", "entry-2", "entry-3")
+
+
+class Clock:
+    """A clock that tests set."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+def make_record(identifier: str = "e1", **changes: Any) -> EndpointRecord:
+    record = EndpointRecord(
+        identifier=identifier,
+        service="chat",
+        host="127.0.0.1",
+        port=9000,
+        data_centre="a",
+        slots=64,
+        draining=False,
+        cold_ms=0.0,
+        incarnation_ms=1,
+    )
+    return record._replace(**changes)
+
+
+def make_route(**changes: Any) -> Route:
+    route = Route(
+        name="r1",
+        host="clinic.example",
+        path_prefix="/chat/",
+        kind=CallKind.STREAM,
+        timeout_ms=10_000,
+        objective_ms=500,
+        maximum_attempts=1,
+        tier=0,
+        targets=(Target("chat", 1.0),),
+        public=False,
+        regions=frozenset(),
+        resumable=False,
+        pause_ms=250,
+    )
+    return route._replace(**changes)
+
+
+GUIDE = {"name": "r2", "path_prefix": "/guide/", "objective_ms": 2500, "tier": 2}
+
+
+def make_guide_route(**changes: Any) -> Route:
+    return make_route(**{**GUIDE, "pause_ms": 1000, **changes})
+
+
+def make_service(**changes: Any) -> Service:
+    service = Service(
+        name="chat",
+        health_path="/healthz",
+        maximum_connections=300,
+        cold_start_s=3.0,
+        cold_requests_per_s=6.0,
+        engine=ENGINE,
+    )
+    return service._replace(**changes)
+
+
+def make_configuration(version: int = 1, **changes: Any) -> Configuration:
+    values: dict[str, Any] = {
+        "version": version,
+        "routes": (make_route(), make_guide_route()),
+        "services": (make_service(),),
+        "limits": Limits(),
+        "teams": (Team("clinic", frozenset({"key"}), None, frozenset()),),
+    }
+    return Configuration(**{**values, **changes})
+
+
+def make_request(**changes: Any) -> CallerRequest:
+    request = CallerRequest(
+        request_id="q1",
+        method="POST",
+        host="clinic.example",
+        target="/chat/1",
+        deadline_ms=10_000.0,
+        key="key",
+        model="m",
+        prompt_tokens=1000,
+        output_tokens=200,
+        output_hint_tokens=100,
+        parts=(PromptPart("shared", 300), PromptPart("own", 700)),
+        last_event="",
+        body_expected_later=False,
+        forwarded=(),
+    )
+    return request._replace(**changes)
+
+
+def make_gateway_job(
+    *, route: Route | None = None, now_s: float = 100.0, **changes: Any
+) -> Job:
+    route = route or make_route()
+    values: dict[str, Any] = {
+        "request": make_request(),
+        "body": b"x" * 1000,
+        "route": route,
+        "service": make_service(),
+        "team": None,
+        "data_centre": "a",
+        "arrival_s": now_s,
+        "version": 1,
+        "patient": route.pause_ms >= 500,
+    }
+    return Job(**{**values, **changes})
+
+
+def make_guide_job(thing: str, own: str, now_s: float, **changes: Any) -> Job:
+    parts = (PromptPart(thing, 13_000), PromptPart(own, 4_000))
+    request = make_request(request_id=own, parts=parts, prompt_tokens=17_000)
+    return make_gateway_job(
+        route=make_guide_route(), now_s=now_s, request=request, **changes
+    )
+
+
+def make_load(identifier: str = "e1", **changes: Any) -> EndpointLoad:
+    return EndpointLoad(record=make_record(identifier, **changes), now_s=100.0)
+
+
+class Desk(NamedTuple):
+    """One entry's admission with its parts, on a clock of the test's own."""
+
+    clock: Clock
+    fleet: Fleet
+    catalogue: Catalogue
+    membership: Membership
+    admission: Admission
+    placed: list[tuple[str, tuple[PromptPart, ...]]]
+
+
+def make_desk(endpoints: int = 6, **record: Any) -> Desk:
+    clock = Clock()
+    fleet = Fleet(clock=clock, regions={"a": "r"}, started_s=clock())
+    catalogue = Catalogue(on_endpoint=fleet.put, on_gone=fleet.drop)
+    membership = Membership(name="entry-1", address="", incarnation=1, seeds=())
+    placed: list[tuple[str, tuple[PromptPart, ...]]] = []
+    admission = Admission(
+        fleet=fleet,
+        catalogue=catalogue,
+        membership=membership,
+        cold_start=ColdStart(entry="entry-1"),
+        placed=lambda endpoint, parts: placed.append((endpoint, parts)),
+        clock=clock,
+    )
+    catalogue.adopt_configuration(make_configuration())
+    for number in range(endpoints):
+        catalogue.put_endpoint(make_record(f"e{number}", port=9000 + number, **record))
+    return Desk(clock, fleet, catalogue, membership, admission, placed)
+
+
+def make_rng() -> random.Random:
+    return random.Random(1)
--- /dev/null
+++ b/tests/processes/test_gateway.py
@@ -0,0 +1,359 @@
+"""A real gateway process between stand-ins of the users' machines."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+import aiohttp
+import pytest
+from devtools.machine_standins import HOST
+from devtools.machine_standins import EndpointStandin
+from devtools.machine_standins import RouteSpec
+from devtools.machine_standins import StoreStandin
+from devtools.machine_standins import make_published
+from devtools.machine_standins import until
+from devtools.processes import free_port
+
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from pathlib import Path
+
+KEY = "k1"
+HEADERS = {"Host": "clinic.example", "Authorization": f"Token {KEY}"}
+ROUTES = [
+    RouteSpec("/book/", "unsafe", "shop", attempts=1),
+    RouteSpec("/stock/", "safe", "shop"),
+    RouteSpec("/chat/", "streaming", "model", attempts=1),
+    RouteSpec("/notes/", "streaming", "model", resumable=True),
+]
+
+
+class Reply(NamedTuple):
+    """What a caller got."""
+
+    status: int
+    body: bytes
+    whole: bool
+    headers: dict[str, str]
+
+
+class Bench:
+    """The stand-ins and the gateway processes of one test."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self.store = StoreStandin()
+        self.endpoints: dict[str, EndpointStandin] = {}
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.ports: dict[str, dict[str, int]] = {}
+        self._number = 0
+
+    async def add_endpoint(self, name: str, service: str, mode: str) -> EndpointStandin:
+        endpoint = EndpointStandin(name=name, service=service, mode=mode)
+        await endpoint.start()
+        self.endpoints[name] = endpoint
+        self.store.put(f"servers/{name}", endpoint.announcement())
+        return endpoint
+
+    def publish(self, version: int, routes: list[RouteSpec] | None = None) -> None:
+        published = make_published(version, routes or ROUTES, {KEY: "clinic"})
+        self.store.put("op/config", published)
+
+    def _settings(self, name: str, ports: dict[str, int], seeds: list[int]) -> Path:
+        path = self._folder / f"{name}.toml"
+        seed_texts = json.dumps([f"{HOST}:{port}" for port in seeds])
+        path.write_text(
+            f'node-name = "{name}"\nip = "{HOST}"\nzone = "a"\nregion = "r"\n'
+            f"internal-port-range = [{ports['udp']}, {ports['udp']}]\n"
+            f"seeds = {seed_texts}\n"
+            f'[listen]\nfront = "{HOST}:{ports["front"]}"\n'
+            f'ready = "{HOST}:{ports["ready"]}"\n'
+            f'control = "{HOST}:{ports["control"]}"\n'
+            f'[provider]\naddress = "{HOST}:{self.store.port}"\n'
+            "[bounds]\ngrace-s = 6\n"
+        )
+        return path
+
+    async def start(
+        self, name: str = "g1", seeds: list[int] | None = None, *, wait: bool = True
+    ) -> None:
+        ports = {kind: free_port() for kind in ("front", "ready", "control", "udp")}
+        path = self._settings(name, ports, seeds or [])
+        log = (self._folder / f"{name}.log").open("ab")
+        self.processes[name] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "shallotroad.gateway.main",
+            env={**os.environ, "SHALLOTROAD_CONFIG": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+        self.ports[name] = ports
+        if wait:
+            await self.wait_ready(name)
+
+    async def ready(self, name: str = "g1") -> bool:
+        url = f"http://{HOST}:{self.ports[name]['ready']}/api/readyz"
+        try:
+            async with aiohttp.ClientSession() as session, session.get(url) as answer:
+                return answer.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def wait_ready(self, name: str) -> None:
+        async with asyncio.timeout(10):
+            while not await self.ready(name):
+                await asyncio.sleep(0.05)
+
+    def log(self, name: str = "g1") -> list[dict[str, Any]]:
+        text = (self._folder / f"{name}.log").read_text()
+        return [json.loads(line) for line in text.splitlines() if line[:1] == "{"]
+
+    async def ask(
+        self,
+        path: str,
+        request_id: str,
+        *,
+        body: bytes = b"",
+        name: str = "g1",
+        **headers: str,
+    ) -> Reply:
+        url = f"http://{HOST}:{self.ports[name]['front']}{path}"
+        sent = {**HEADERS, "X-Request-Id": request_id, "X-Deadline-Ms": "3000"}
+        method = "GET" if path.startswith("/stock/") else "POST"
+        got = b""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(method, url, data=body, headers=sent | headers) as answer,
+        ):
+            try:
+                async for piece in answer.content.iter_any():
+                    got += piece
+                whole = True
+            except aiohttp.ClientError:
+                whole = False
+            return Reply(answer.status, got, whole, dict(answer.headers))
+
+    async def close(self) -> None:
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+        for endpoint in self.endpoints.values():
+            await endpoint.close()
+        await self.store.close()
+
+
+@pytest.fixture
+async def bench(tmp_path: Path) -> AsyncIterator[Bench]:
+    made = Bench(tmp_path)
+    await made.store.start()
+    made.publish(1)
+    yield made
+    await made.close()
+
+
+def events(count: int, request_id: str) -> bytes:
+    return b"".join(
+        f"id: {n}\ndata: {request_id}-{n}\n\n".encode() for n in range(1, count + 1)
+    )
+
+
+async def test_each_kind_of_request_is_served_whole(bench: Bench) -> None:
+    await bench.add_endpoint("s1", "shop", "ok")
+    await bench.add_endpoint("m1", "model", "stream")
+    await bench.start()
+    booked = await bench.ask("/book/1", "q1", body=b"slot")
+    assert (booked.status, booked.body) == (200, b"s1 q1")
+    assert booked.headers["X-Replica-Signature"] == "s1"
+    chat = await bench.ask("/chat/1", "q2", body=b"hello")
+    assert (chat.status, chat.body, chat.whole) == (200, events(6, "q2"), True)
+    (seen,) = bench.endpoints["s1"].seen
+    assert seen.body == b"slot"
+    assert seen.headers["x-tenant"] == "clinic"
+    assert "authorization" not in seen.headers
+
+
+async def test_a_request_that_may_have_run_once_is_never_sent_again(
+    bench: Bench,
+) -> None:
+    for name in ("s1", "s2"):
+        await bench.add_endpoint(name, "shop", "reset")
+    await bench.start()
+    reply = await bench.ask("/book/1", "q1", body=b"slot")
+    assert reply.status == 502
+    assert sum(len(e.seen) for e in bench.endpoints.values()) == 1
+
+
+async def test_a_proven_refusal_is_sent_on_and_told_as_not_run(bench: Bench) -> None:
+    await bench.add_endpoint("s1", "shop", "full")
+    await bench.start()
+    refused = await bench.ask("/book/1", "q1", body=b"slot")
+    assert refused.status == 503
+    assert float(refused.headers["Retry-After"]) >= 0
+    await bench.add_endpoint("s2", "shop", "ok")
+    await asyncio.sleep(0.5)
+    replies = [await bench.ask("/book/1", f"p{n}", body=b"s") for n in range(3)]
+    assert [reply.status for reply in replies] == [200, 200, 200]
+
+
+async def test_a_safe_request_is_repeated_after_an_unknown_end(bench: Bench) -> None:
+    await bench.add_endpoint("s1", "shop", "reset")
+    await bench.add_endpoint("s2", "shop", "ok")
+    await bench.start()
+    replies = [await bench.ask("/stock/1", f"q{n}") for n in range(4)]
+    assert {reply.status for reply in replies} == {200}
+
+
+async def test_a_late_second_answer_reaches_nobody(bench: Bench) -> None:
+    await bench.add_endpoint("s1", "shop", "late")
+    await bench.start()
+    for number in range(6):
+        reply = await bench.ask("/stock/1", f"q{number}")
+        assert reply.body == f"s1 q{number}".encode()
+        await asyncio.sleep(0.02 * number)
+
+
+async def test_an_unsigned_answer_is_no_success(bench: Bench) -> None:
+    await bench.add_endpoint("s1", "shop", "unsigned")
+    await bench.start()
+    assert (await bench.ask("/book/1", "q1", body=b"x")).status == 502
+
+
+async def test_half_a_stream_never_looks_complete(bench: Bench) -> None:
+    await bench.add_endpoint("m1", "model", "cut")
+    await bench.start()
+    reply = await bench.ask("/chat/1", "q1", body=b"hello")
+    assert not reply.whole
+    assert reply.body == events(2, "q1")
+
+
+async def test_a_resumable_stream_goes_on_at_another_endpoint(bench: Bench) -> None:
+    await bench.add_endpoint("m1", "model", "cut")
+    await bench.add_endpoint("m2", "model", "cut")
+    await bench.start()
+    task = asyncio.create_task(bench.ask("/notes/1", "q1", body=b"hello"))
+    await until(lambda: any(e.seen for e in bench.endpoints.values()))
+    for endpoint in bench.endpoints.values():
+        if not endpoint.seen:
+            endpoint.mode = "stream"
+    reply = await task
+    assert reply.whole
+    assert reply.body == events(6, "q1")
+
+
+async def test_a_caller_who_leaves_cancels_the_work(bench: Bench) -> None:
+    endpoint = await bench.add_endpoint("m1", "model", "stream")
+    endpoint.events = 200
+    await bench.start()
+    task = asyncio.create_task(bench.ask("/chat/1", "q1", body=b"hello"))
+    await until(lambda: bool(endpoint.seen))
+    task.cancel()
+    await until(lambda: endpoint.cancelled > 0, timeout_s=1.0)
+
+
+async def test_sigterm_cuts_no_answer_and_ends_the_process(bench: Bench) -> None:
+    endpoint = await bench.add_endpoint("m1", "model", "stream")
+    endpoint.events = 40
+    await bench.start()
+    task = asyncio.create_task(bench.ask("/chat/1", "q1", body=b"hello"))
+    await until(lambda: bool(endpoint.seen))
+    bench.processes["g1"].send_signal(signal.SIGTERM)
+    await asyncio.sleep(0.2)
+    assert not await bench.ready()
+    again = await bench.ask("/chat/1", "q2", body=b"hello")
+    assert (await task).whole
+    assert again.whole
+    assert again.headers["Connection"] == "close"
+    assert await asyncio.wait_for(bench.processes["g1"].wait(), 8) == 0
+
+
+async def test_sigterm_at_any_moment_of_the_start_ends_cleanly(bench: Bench) -> None:
+    for number in range(8):
+        name = f"g{number}"
+        await bench.start(name, wait=False)
+        await asyncio.sleep(0.3 + 0.1 * number)
+        bench.processes[name].send_signal(signal.SIGTERM)
+    codes = [await asyncio.wait_for(p.wait(), 12) for p in bench.processes.values()]
+    assert codes == [0] * 8
+
+
+async def test_a_timeout_of_the_route_ends_with_an_answer(bench: Bench) -> None:
+    await bench.add_endpoint("s1", "shop", "mute")
+    bench.publish(2, [RouteSpec("/book/", "unsafe", "shop", 400, 1)])
+    await bench.start()
+    began_s = asyncio.get_running_loop().time()
+    reply = await bench.ask("/book/1", "q1", body=b"x")
+    assert reply.status == 504
+    assert 0.35 < asyncio.get_running_loop().time() - began_s < 0.9
+
+
+async def test_a_new_version_is_in_force_soon_and_an_old_one_never_again(
+    bench: Bench,
+) -> None:
+    await bench.add_endpoint("s1", "shop", "ok")
+    await bench.start()
+    bench.publish(5, [RouteSpec("/stock/", "safe", "shop")])
+    await asyncio.sleep(1.0)
+    assert (await bench.ask("/book/1", "q1", body=b"x")).status == 404
+    bench.publish(3)
+    bench.store.forget_history()
+    await asyncio.sleep(1.5)
+    assert (await bench.ask("/book/1", "q2", body=b"x")).status == 404
+    assert (await bench.ask("/stock/1", "q3")).status == 200
+
+
+async def test_a_gateway_that_starts_without_the_store_learns_from_a_peer(
+    bench: Bench,
+) -> None:
+    await bench.add_endpoint("s1", "shop", "ok")
+    await bench.start("g1")
+    bench.store.down = True
+    await bench.start("g2", [bench.ports["g1"]["control"]])
+    reply = await bench.ask("/stock/1", "q1", name="g2")
+    assert reply.status == 200
+
+
+async def test_without_any_configuration_the_answer_says_not_run(
+    bench: Bench,
+) -> None:
+    bench.store.down = True
+    await bench.start(wait=False)
+    await until(lambda: any(line["event"] == "started" for line in bench.log()), 10)
+    assert not await bench.ready()
+    assert (await bench.ask("/stock/1", "q1")).status == 503
+
+
+async def test_an_address_that_now_belongs_to_another_endpoint_runs_nothing(
+    bench: Bench,
+) -> None:
+    endpoint = await bench.add_endpoint("s1", "shop", "ok")
+    await bench.start()
+    endpoint.name = "s9"
+    reply = await bench.ask("/book/1", "q1", body=b"x")
+    assert reply.status == 503
+
+
+async def test_each_finished_request_has_one_line_with_its_inputs(
+    bench: Bench,
+) -> None:
+    await bench.add_endpoint("s1", "shop", "ok")
+    await bench.start()
+    await bench.ask("/stock/1", "q1")
+    await bench.ask("/none/1", "q2")
+    await asyncio.sleep(0.5)
+    lines = [x for x in bench.log() if x["event"] == "request finished"]
+    by_id = {line["request"]: line for line in lines}
+    assert by_id["q1"]["attempts"][0]["endpoint"] == "s1"
+    assert by_id["q1"]["version"] == 1
+    assert by_id["q2"]["outcome"] == "rejected 404"
+    assert len(lines) == 2
--- /dev/null
+++ b/tests/unit/gateway/test_news.py
@@ -0,0 +1,114 @@
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+
+from shallotroad.catalog.catalogue import Catalogue
+from shallotroad.gateway.fleet import Fleet
+from shallotroad.gateway.news import News
+from shallotroad.platform.documents import Document
+from shallotroad.platform.settings import Address
+from shallotroad.platform.store import Batch
+from shallotroad.platform.store import StoreClient
+from tests.gateway_builders import Clock
+
+
+class Subject:
+    """News with its catalogue and clock."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        fleet = Fleet(clock=self.clock, regions={}, started_s=0.0)
+        self.catalogue = Catalogue(on_endpoint=fleet.put, on_gone=fleet.drop)
+        store = StoreClient(address=Address("127.0.0.1", 1))
+        self.news = News(store=store, catalogue=self.catalogue, clock=self.clock)
+
+
+def configuration(version: int, revision: int) -> Document:
+    value = {"version": version, "routes": [], "services": [], "limits": {}}
+    return Document("op/config", revision, orjson.dumps(value))
+
+
+def endpoint(name: str, revision: int, **changes: Any) -> Document:
+    value = {
+        "service": "chat",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "slots": 4,
+        "state": "ready",
+        "cold-remaining-ms": 0,
+        "sequence": 1,
+        "born": 5,
+        **changes,
+    }
+    return Document(f"servers/{name}", revision, orjson.dumps(value))
+
+
+def test_an_older_revision_or_version_is_never_adopted() -> None:
+    subject = Subject()
+    subject.news.apply(configuration(7, 10))
+    subject.news.apply(configuration(9, 8))
+    subject.news.apply(configuration(6, 11))
+    held = subject.catalogue.configuration
+    assert held is not None
+    assert held.version == 7
+
+
+def test_a_malformed_configuration_leaves_the_old_one_in_force() -> None:
+    subject = Subject()
+    subject.news.apply(configuration(7, 10))
+    for number, value in enumerate((b"", b"[]", b'{"version": "x"}', b"\xff")):
+        subject.news.apply(Document("op/config", 11 + number, value))
+    held = subject.catalogue.configuration
+    assert held is not None
+    assert held.version == 7
+
+
+def test_a_forged_announcement_names_no_endpoint_and_the_others_hold() -> None:
+    subject = Subject()
+    subject.news.apply(endpoint("e1", 2))
+    forged: list[dict[str, Any]] = [
+        {"state": "odd"},
+        {"address": "nowhere"},
+        {"slots": "four"},
+        {"zone": 3},
+        {"sequence": None},
+    ]
+    for number, changes in enumerate(forged):
+        subject.news.apply(endpoint(f"f{number}", 3 + number, **changes))
+    assert set(subject.catalogue.endpoints) == {"e1"}
+
+
+def test_an_endpoint_that_lapsed_in_an_outage_is_kept_until_it_had_time() -> None:
+    subject = Subject()
+    subject.news.apply(endpoint("e1", 2))
+    subject.news._reached()
+    subject.news.apply_list(Batch(9, []))
+    assert set(subject.catalogue.endpoints) == {"e1"}
+    subject.clock.now_s += 2.5
+    subject.catalogue.expire(subject.clock())
+    assert not subject.catalogue.endpoints
+
+
+def test_an_endpoint_removed_in_quiet_times_is_gone_at_once() -> None:
+    subject = Subject()
+    subject.news.apply(endpoint("e1", 2))
+    subject.news.apply(Document("servers/e1", 3, None))
+    assert not subject.catalogue.endpoints
+
+
+def test_a_closed_data_centre_opens_only_by_a_newer_revision() -> None:
+    subject = Subject()
+    subject.news.apply(Document("op/evacuate/a", 5, b"{}"))
+    subject.news.apply(Document("op/evacuate/a", 4, None))
+    assert subject.catalogue.closed == {"a"}
+    subject.news.apply(Document("op/evacuate/a", 6, None))
+    assert not subject.catalogue.closed
+
+
+def test_what_changed_after_the_first_page_is_not_undone_by_the_list() -> None:
+    subject = Subject()
+    subject.news.apply(endpoint("e1", 12))
+    subject.news.apply_list(Batch(9, [endpoint("e2", 3)]))
+    assert set(subject.catalogue.endpoints) == {"e1", "e2"}
--- /dev/null
+++ b/tests/unit/platform/test_settings.py
@@ -0,0 +1,57 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
+
+from shallotroad.platform.exceptions import SettingsError
+from shallotroad.platform.settings import decode_settings
+from shallotroad.platform.settings import read_settings
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+def make_table(**changes: Any) -> dict[str, Any]:
+    table: dict[str, Any] = {
+        "node-name": "n1",
+        "ip": "127.0.0.1",
+        "zone": "a",
+        "region": "r",
+        "seeds": ["127.0.0.1:7000", "nonsense"],
+        "internal-port-range": [7001, 7010],
+        "listen": {
+            "front": "127.0.0.1:8000",
+            "ready": "127.0.0.1:8001",
+            "control": "127.0.0.1:7000",
+        },
+        "provider": {"address": "127.0.0.1:6000"},
+        "bounds": {"contact-ms": 4000, "grace-s": 9},
+        "a-new-field": 1,
+    }
+    return {**table, **changes}
+
+
+def test_settings_are_decoded_with_units() -> None:
+    settings = decode_settings(make_table())
+    assert settings.bounds.contact_s == 4.0
+    assert settings.bounds.grace_s == 9.0
+    assert settings.callers.port == 8000
+    assert [str(seed) for seed in settings.seeds] == ["127.0.0.1:7000"]
+
+
+def test_all_findings_are_told_at_once() -> None:
+    with pytest.raises(SettingsError) as found:
+        decode_settings(make_table(zone=3, provider={"address": "x"}, listen={}))
+    text = str(found.value)
+    for place in ("zone", "provider.address", "listen.front", "listen.ready"):
+        assert place in text
+
+
+def test_an_unreadable_file_is_a_finding(tmp_path: Path) -> None:
+    path = tmp_path / "boot.toml"
+    path.write_text("= broken")
+    with pytest.raises(SettingsError):
+        read_settings(path)
--- a/tests/unit/test_team_limits.py
+++ b/tests/unit/test_team_limits.py
@@ -7,10 +7,10 @@
 import pytest
 
 from shallotroad.config.fleet import Limits
+from shallotroad.discovery.client import Instance
 from shallotroad.entry import team_limits as module
 from shallotroad.entry.team_limits import TeamLimits
 from shallotroad.entry.team_limits import home_of
-from shallotroad.discovery.client import Instance
 from shallotroad.protocol.rpc import make_server
 
 
