--- a/src/shallotroad/console/application.py
+++ b/src/shallotroad/console/application.py
@@ -11,6 +11,8 @@
 from shallotroad.console.commands.dump import dump
 from shallotroad.console.commands.explain import explain
 from shallotroad.console.commands.fleet import fleet
+from shallotroad.console.commands.settings_check import settings_check
+from shallotroad.console.commands.trace import trace
 
 
 @click.group()
@@ -28,9 +30,16 @@
     """Work on a configuration folder, without any running process."""
 
 
+@main.group()
+def settings() -> None:
+    """Work on a gateway's settings, without any running process."""
+
+
+settings.add_command(settings_check)
 config.add_command(check)
 config.add_command(render)
 config.add_command(diff)
 main.add_command(dump)
 main.add_command(explain)
 main.add_command(fleet)
+main.add_command(trace)
--- /dev/null
+++ b/src/shallotroad/console/commands/settings_check.py
@@ -0,0 +1,23 @@
+"""``shallotroad settings check``."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+
+from shallotroad.platform.exceptions import SettingsError
+from shallotroad.platform.settings import read_settings
+
+
+@click.command("check")
+@click.argument("path", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+def settings_check(path: Path) -> None:
+    """Check a gateway's settings file; every finding is told at once."""
+    try:
+        settings = read_settings(path)
+    except SettingsError as error:
+        click.echo(str(error))
+        sys.exit(2)
+    click.echo(f"{settings.name}: callers {settings.callers}, store {settings.store}")
--- a/src/shallotroad/gateway/door.py
+++ b/src/shallotroad/gateway/door.py
@@ -23,6 +23,7 @@
 
     from shallotroad.catalog.catalogue import Catalogue
     from shallotroad.gateway.forwarder import Forwarder
+    from shallotroad.gateway.metrics import GatewayMetrics
     from shallotroad.platform.headers import AnswerHead
     from shallotroad.platform.headers import CallerRequest
 
@@ -73,6 +74,7 @@
         catalogue: Catalogue,
         forwarder: Forwarder,
         data_centre: str,
+        metrics: GatewayMetrics,
         clock: Callable[[], float],
     ) -> None:
         self._catalogue = catalogue
@@ -82,7 +84,7 @@
         self.closing = False
         self.refusing = False
         self.open_requests = 0
-        self.counts: dict[str, int] = {}
+        self._metrics = metrics
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of a caller."""
@@ -151,8 +153,8 @@
         why: str,
         arrival_s: float,
     ) -> None:
-        self.counts[outcome] = self.counts.get(outcome, 0) + 1
         now_s = self._clock()
+        self._count(job, stream, outcome, arrival_s, now_s)
         inputs: dict[str, object] = {
             "request": decoded.request_id,
             "outcome": outcome,
@@ -175,6 +177,23 @@
             inputs["first_ms"] = round((stream.started_s - arrival_s) * 1000, 1)
         decided("request finished", **inputs)
 
+    def _count(
+        self,
+        job: Job | None,
+        stream: CallerStream,
+        outcome: str,
+        arrival_s: float,
+        now_s: float,
+    ) -> None:
+        kind = job.route.kind.value if job is not None else "none"
+        self._metrics.requests.inc({"kind": kind, "outcome": outcome})
+        if job is None:
+            return
+        self._metrics.whole_s.observe({"kind": kind}, now_s - arrival_s)
+        self._metrics.waited_s.observe({"kind": kind}, job.waited_ms / 1000)
+        if stream.started_s:
+            self._metrics.first_s.observe({"kind": kind}, stream.started_s - arrival_s)
+
     async def _accept(
         self, request: web.BaseRequest, decoded: CallerRequest, arrival_s: float
     ) -> Job:
@@ -185,6 +204,9 @@
             raise RefusedError(
                 "no configuration yet", retry_after_s=UNCONFIGURED_RETRY_S
             )
+        head_bytes = sum(len(n) + len(v) for n, v in request.raw_headers)
+        if head_bytes > configuration.limits.header_bytes:
+            raise RejectedError("headers are too large", status=431)
         if decoded.body_expected_later:
             assert request.transport is not None
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
--- /dev/null
+++ b/src/shallotroad/gateway/exports.py
@@ -0,0 +1,82 @@
+"""What a gateway shows operators and the balancer over HTTP."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from aiohttp import web
+from aioprometheus import render
+
+from shallotroad.gateway.metrics import make_collector
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from shallotroad.gateway.factory import Parts
+
+METRICS_PATH = "/metrics"
+DUMP_PATH = "/debug/dump"
+ALIVE_PATH = "/healthz"
+ACCEPT = ["text/plain; version=0.0.4"]
+
+
+def dump_gateway(parts: Parts) -> dict[str, Any]:
+    """Return the state of a gateway as plain data, without keys or prompts."""
+    now_s = parts.clock()
+    configuration = parts.catalogue.configuration
+    return {
+        "role": "gateway",
+        "instance": parts.settings.name,
+        "data_centre": parts.settings.data_centre,
+        "version": configuration.version if configuration else None,
+        "store": {
+            "connected": parts.news.connected,
+            "revision": parts.news.revision,
+            "silent_s": round(now_s - parts.news.heard_s, 3),
+        },
+        "closed_data_centres": sorted(parts.catalogue.closed),
+        "live_entries": parts.membership.live(now_s),
+        "waiting": parts.admission.waiting,
+        "open_requests": parts.door.open_requests,
+        "stopping": parts.door.closing,
+        "endpoints": [
+            {
+                "endpoint": identifier,
+                "service": load.record.service,
+                "data_centre": load.record.data_centre,
+                "draining": load.record.draining,
+                "running": load.running,
+                "running_everywhere": load.all_running(now_s),
+                "backlog_ms": round(load.backlog_ms(now_s)),
+                "debt_ms": round(load.debt_ms(now_s)),
+                "slowness": round(load.slowness, 2),
+                "failure_share": round(load.failure_share(now_s), 3),
+                "cold_s": round(max(0.0, load.cold_until_s - now_s), 2),
+            }
+            for identifier, load in sorted(parts.fleet.loads.items())
+        ],
+    }
+
+
+def make_status_handler(
+    parts: Parts,
+) -> Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]:
+    """Return the handler of readiness, metrics and the dump."""
+    collect = make_collector(parts)
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == METRICS_PATH:
+            collect()
+            content, headers = render(parts.metrics.registry, ACCEPT)
+            return web.Response(body=content, headers=headers)
+        if request.path == DUMP_PATH:
+            return web.json_response(dump_gateway(parts))
+        if request.path == ALIVE_PATH:
+            return web.Response()
+        ready = not parts.door.closing and parts.catalogue.configuration is not None
+        return web.Response(status=200 if ready else 503)
+
+    return handle
--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -15,13 +15,16 @@
 from shallotroad.gateway.admission import Admission
 from shallotroad.gateway.door import Door
 from shallotroad.gateway.events import EventCutter
+from shallotroad.gateway.exports import make_status_handler
 from shallotroad.gateway.fleet import Fleet
 from shallotroad.gateway.forwarder import Forwarder
 from shallotroad.gateway.load_reports import LoadReports
 from shallotroad.gateway.load_reports import open_load_reports
 from shallotroad.gateway.membership import Membership
+from shallotroad.gateway.metrics import GatewayMetrics
 from shallotroad.gateway.news import News
 from shallotroad.gateway.peers import Peers
+from shallotroad.gateway.reload import Reloader
 from shallotroad.observability.decisions import decided
 from shallotroad.observability.decisions import write_lines
 from shallotroad.platform.store import StoreClient
@@ -55,7 +58,10 @@
     peers: Peers
     reports: LoadReports
     admission: Admission
+    forwarder: Forwarder
     door: Door
+    metrics: GatewayMetrics
+    clock: Callable[[], float]
 
 
 def build(settings: MachineSettings) -> Parts:
@@ -88,11 +94,13 @@
         placed=reports.placed,
         clock=clock,
     )
+    metrics = GatewayMetrics()
     forwarder = Forwarder(
         fleet=fleet,
         admission=admission,
         membership=membership,
         bounds=settings.bounds,
+        metrics=metrics,
         clock=clock,
         make_cutter=EventCutter,
     )
@@ -100,6 +108,7 @@
         catalogue=catalogue,
         forwarder=forwarder,
         data_centre=settings.data_centre,
+        metrics=metrics,
         clock=clock,
     )
     peers = Peers(membership=membership, news=news, clock=clock, rng=rng)
@@ -113,7 +122,10 @@
         peers,
         reports,
         admission,
+        forwarder,
         door,
+        metrics,
+        clock,
     )
 
 
@@ -128,17 +140,17 @@
     return server, listener
 
 
-def _readiness(parts: Parts) -> object:
-    async def handle(_: web.BaseRequest) -> web.Response:
-        ready = not parts.door.closing and parts.catalogue.configuration is not None
-        return web.Response(status=200 if ready else 503)
+async def serve(
+    settings: MachineSettings, stop: asyncio.Event, reload: set[Callable[[], None]]
+) -> None:
+    """Run a gateway until it is told to stop and its requests have ended.
 
-    return handle
-
-
-async def serve(settings: MachineSettings, stop: asyncio.Event) -> None:
-    """Run a gateway until it is told to stop and its requests have ended."""
+    ``reload`` takes what a signal to read the settings again calls.
+    """
     parts = build(settings)
+    status = make_status_handler(parts)
+    reloader = Reloader(parts=parts)
+    reload.add(reloader.wanted.set)
     servers = [
         await _listen(
             parts.door.handle,
@@ -149,10 +161,12 @@
             max_line_size=HEADER_BYTES,
             auto_decompress=False,
         ),
-        await _listen(_readiness(parts), settings.readiness),
+        await _listen(status, settings.readiness),
     ]
     if settings.peers is not None:
         servers.append(await _listen(parts.peers.handle, settings.peers))
+    if settings.metrics is not None:
+        servers.append(await _listen(status, settings.metrics))
     if settings.internal_ports[0]:
         await open_load_reports(
             parts.reports, settings.host, settings.internal_ports[0]
@@ -165,6 +179,7 @@
             parts.admission.pump_regularly,
             parts.peers.exchange_regularly,
             parts.reports.send_regularly,
+            reloader.watch,
             write_lines,
         )
     ]
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -33,6 +33,7 @@
     from shallotroad.gateway.fleet import Fleet
     from shallotroad.gateway.job import Job
     from shallotroad.gateway.membership import Membership
+    from shallotroad.gateway.metrics import GatewayMetrics
     from shallotroad.platform.headers import AnswerHead
     from shallotroad.platform.settings import Bounds
     from shallotroad.policy.endpoint_load import EndpointLoad
@@ -90,13 +91,15 @@
         admission: Admission,
         membership: Membership,
         bounds: Bounds,
+        metrics: GatewayMetrics,
         clock: Callable[[], float],
         make_cutter: Callable[[], EventCutter],
     ) -> None:
         self._fleet = fleet
         self._admission = admission
         self._membership = membership
-        self._bounds = bounds
+        self.bounds = bounds
+        self._metrics = metrics
         self._clock = clock
         self._make_cutter = make_cutter
         self._budgets: dict[str, RetryWindow] = {}
@@ -105,9 +108,9 @@
         budget = self._budgets.get(service)
         if budget is None:
             budget = self._budgets[service] = RetryWindow(
-                ratio=self._bounds.retry_ratio,
-                window_s=self._bounds.retry_window_s,
-                slack=self._bounds.retry_slack,
+                ratio=self.bounds.retry_ratio,
+                window_s=self.bounds.retry_window_s,
+                slack=self.bounds.retry_slack,
             )
         return budget
 
@@ -144,6 +147,7 @@
                 self._give_up_or_repeat(job, candidate, error, cutter)
 
     def _note(self, job: Job, candidate: Candidate, outcome: str, why: object) -> None:
+        self._metrics.attempts.inc({"end": outcome})
         decided(
             "attempt failed",
             request=job.request.request_id,
@@ -242,6 +246,7 @@
                     job, connection, caller, cutter, progress, patience
                 )
             load.succeed(self._clock())
+            self._metrics.attempts.inc({"end": "answered"})
             pool.release(connection)
             connection = None
             return answer
--- a/src/shallotroad/gateway/main.py
+++ b/src/shallotroad/gateway/main.py
@@ -8,6 +8,11 @@
 
 import signal
 import sys
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 
 EARLY: list[int] = []
@@ -26,7 +31,6 @@
 
     from shallotroad.gateway.factory import serve
     from shallotroad.observability.decisions import configure_decisions
-    from shallotroad.observability.decisions import decided
     from shallotroad.platform.settings import read_settings
 
     settings = read_settings()
@@ -35,10 +39,16 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: decided("settings changed"))
+    reload: set[Callable[[], None]] = set()
+
+    def read_again() -> None:
+        for call in reload:
+            call()
+
+    loop.add_signal_handler(signal.SIGHUP, read_again)
     if signal.SIGTERM in EARLY or signal.SIGINT in EARLY:
         stop.set()
-    await serve(settings, stop)
+    await serve(settings, stop, reload)
 
 
 def main() -> None:
--- a/src/shallotroad/gateway/membership.py
+++ b/src/shallotroad/gateway/membership.py
@@ -70,6 +70,10 @@
         self._seeds = [seed for seed in seeds if seed != address]
         self._members: dict[str, Member] = {}
 
+    def replace_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Use other seeds from now on."""
+        self._seeds = [seed for seed in seeds if seed != self.address]
+
     def beat(self) -> None:
         """Count a heartbeat of this entry."""
         self._beats += 1
--- /dev/null
+++ b/src/shallotroad/gateway/metrics.py
@@ -0,0 +1,95 @@
+"""Counters, gauges and latency histograms of a gateway."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aioprometheus import Counter
+from aioprometheus import Gauge
+from aioprometheus import Histogram
+from aioprometheus.collectors import Registry
+
+from shallotroad.observability.decisions import BUFFER
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from shallotroad.gateway.factory import Parts
+
+LATENCY_BUCKETS_S = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.35,
+    0.5,
+    0.8,
+    1.2,
+    2.5,
+    5.0,
+    10.0,
+    float("inf"),
+)
+
+
+class GatewayMetrics:
+    """What a gateway counts while it works."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.requests = Counter(
+            "shallotroad_requests_total",
+            "Requests by kind and outcome",
+            registry=self.registry,
+        )
+        self.attempts = Counter(
+            "shallotroad_attempts_total",
+            "Attempts at endpoints by end",
+            registry=self.registry,
+        )
+        self.first_s = Histogram(
+            "shallotroad_first_event_seconds",
+            "Time to the first event of streams",
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self.whole_s = Histogram(
+            "shallotroad_request_seconds",
+            "Time to the end of the answer",
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self.waited_s = Histogram(
+            "shallotroad_waited_seconds",
+            "Time that a request waited at the entry",
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self.state = Gauge(
+            "shallotroad_gateway", "State of a gateway, by name", registry=self.registry
+        )
+
+
+def make_collector(parts: Parts) -> Callable[[], None]:
+    """Return what brings the gauges up to date before they are read."""
+
+    def collect() -> None:
+        configuration = parts.catalogue.configuration
+        values = {
+            "configuration_version": configuration.version if configuration else 0,
+            "store_revision": parts.news.revision,
+            "store_connected": int(parts.news.connected),
+            "store_calls": parts.store.calls,
+            "endpoints": len(parts.catalogue.endpoints),
+            "waiting": parts.admission.waiting,
+            "open_requests": parts.door.open_requests,
+            "connections_opened": parts.fleet.opened_connections(),
+            "live_entries": len(parts.membership.live(parts.clock())),
+            "log_lines_dropped": BUFFER.all_dropped,
+        }
+        for name, value in values.items():
+            parts.metrics.state.set({"name": name}, value)
+
+    return collect
--- a/src/shallotroad/observability/decisions.py
+++ b/src/shallotroad/observability/decisions.py
@@ -33,11 +33,13 @@
     def __init__(self) -> None:
         self._lines: deque[bytes] = deque()
         self.dropped = 0
+        self.all_dropped = 0
 
     def add(self, line: bytes) -> None:
         """Hold a line, or drop it when there is no room."""
         if len(self._lines) >= MOST_LINES:
             self.dropped += 1
+            self.all_dropped += 1
             return
         self._lines.append(line)
 
@@ -54,6 +56,7 @@
             os.write(STANDARD_OUTPUT, b"\n".join(lines) + b"\n")
         except OSError:
             self.dropped += count
+            self.all_dropped += count
 
 
 BUFFER = LineBuffer()
--- a/src/shallotroad/platform/settings.py
+++ b/src/shallotroad/platform/settings.py
@@ -12,6 +12,7 @@
 
 
 ENVIRONMENT_VARIABLE = "SHALLOTROAD_CONFIG"
+METRICS_PORT_VARIABLE = "SHALLOTROAD_METRICS_PORT"
 MS_PER_S = 1000.0
 
 
@@ -55,6 +56,8 @@
         Where other entries connect.
     store : Address
         The platform's store.
+    metrics : Address or None
+        Where metrics are read, besides the readiness address.
     first_start : bool
         Whether the whole system starts for the first time.
     """
@@ -68,6 +71,7 @@
     readiness: Address
     peers: Address | None
     store: Address
+    metrics: Address | None
     seeds: tuple[Address, ...]
     internal_ports: tuple[int, int]
     memory_mb: float
@@ -128,6 +132,14 @@
     return tuple(found)
 
 
+def _metrics(table: dict[str, Any]) -> Address | None:
+    port = os.environ.get(METRICS_PORT_VARIABLE, "")
+    host = table.get("ip")
+    if not port.isdigit() or not isinstance(host, str):
+        return None
+    return Address(host, int(port))
+
+
 def decode_settings(table: dict[str, Any]) -> MachineSettings:
     """Decode the settings into the project's words.
 
@@ -173,6 +185,7 @@
             else None
         ),
         store=address("provider.address", "provider", "address"),
+        metrics=_metrics(table),
         seeds=_seeds(table.get("seeds")),
         internal_ports=(int(ports[0]), int(ports[1])),
         memory_mb=float(limits.get("memory-mb", 300)),
--- a/src/shallotroad/platform/store.py
+++ b/src/shallotroad/platform/store.py
@@ -61,6 +61,10 @@
             await self._session.close()
             self._session = None
 
+    def move(self, address: Address) -> None:
+        """Use another address for the calls to come."""
+        self._url = f"http://{address}"
+
     async def list_documents(self) -> Batch:
         """Read every document, page by page.
 
