--- a/src/shallotroad/gateway/load_reports.py
+++ b/src/shallotroad/gateway/load_reports.py
@@ -25,7 +25,8 @@
     from shallotroad.gateway.fleet import Fleet
     from shallotroad.gateway.membership import Membership
 
-REPORT_S = 0.1
+REPORT_S = 0.2
+NAME_CHARACTERS = 6  # of an endpoint's name, enough to tell a service's apart
 MOST_PEERS = 8  # told in one round; more are told in turn, at random
 MOST_PLACEMENTS = 30  # in one datagram of about 1 KB
 NOTED_TOKENS = 200  # shorter parts are as fast to read as to tell of
@@ -61,7 +62,7 @@
         noted = [p for p in parts if p.tokens >= NOTED_TOKENS]
         if noted and len(self._placements) < MOST_PLACEMENTS:
             self._placements.append(
-                [endpoint, *([p.identifier, p.tokens] for p in noted)]
+                [_short(endpoint), *([p.identifier, p.tokens] for p in noted)]
             )
 
     def datagram_received(self, data: bytes, _: tuple[str | Any, int]) -> None:
@@ -69,11 +70,12 @@
         try:
             sender, loads, placements = orjson.loads(data)
             now_s = self._clock()
-            for identifier, load in self._fleet.loads.items():
-                if identifier in loads:
-                    load.report(sender, LoadReport(*loads[identifier]), now_s)
-            for endpoint, *parts in placements:
-                known = self._fleet.loads.get(endpoint)
+            by_name = {_short(name): x for name, x in self._fleet.loads.items()}
+            for name, load in by_name.items():
+                if name in loads:
+                    load.report(sender, LoadReport(*loads[name]), now_s)
+            for name, *parts in placements:
+                known = by_name.get(name)
                 if known is not None:
                     known.note_parts([PromptPart(*part) for part in parts])
         except (AttributeError, TypeError, ValueError) as error:
@@ -85,7 +87,7 @@
         for identifier, load in self._fleet.loads.items():
             report = load.own_report(now_s)
             if load.running or self._told.get(identifier, report) != report:
-                loads[identifier] = list(report)
+                loads[_short(identifier)] = list(report)
             self._told[identifier] = report
         if not loads and not self._placements:
             return None
@@ -108,6 +110,10 @@
             self.send()
 
 
+def _short(endpoint: str) -> str:
+    return endpoint[-NAME_CHARACTERS:]
+
+
 async def open_load_reports(reports: LoadReports, host: str, port: int) -> None:
     """Bind the datagram socket."""
     loop = asyncio.get_running_loop()
