--- a/src/shallotroad/catalog/configuration.py
+++ b/src/shallotroad/catalog/configuration.py
@@ -144,12 +144,16 @@
             held_ms = self._shortest_pause_ms.get(target.service, route.pause_ms)
             self._shortest_pause_ms[target.service] = min(held_ms, route.pause_ms)
 
+    def shortest_pause_ms(self, service: str) -> float:
+        """Return the shortest pause that any stream of a service bears; 0 if none."""
+        return self._shortest_pause_ms.get(service, 0.0)
+
     def patient(self, route: Route, service: str) -> bool:
         """Return whether a route's streams bear far longer pauses than others'.
 
         The prompts of such routes are what makes the others' streams pause.
         """
-        shortest_ms = self._shortest_pause_ms.get(service, 0.0)
+        shortest_ms = self.shortest_pause_ms(service)
         return shortest_ms > 0 and route.pause_ms >= PATIENT_RATIO * shortest_ms
 
     def match(self, host: str, path: str) -> Route | None:
--- a/src/shallotroad/gateway/door.py
+++ b/src/shallotroad/gateway/door.py
@@ -22,12 +22,15 @@
     from collections.abc import Callable
 
     from shallotroad.catalog.catalogue import Catalogue
+    from shallotroad.catalog.configuration import Configuration
     from shallotroad.gateway.forwarder import Forwarder
     from shallotroad.gateway.metrics import GatewayMetrics
     from shallotroad.platform.headers import AnswerHead
     from shallotroad.platform.headers import CallerRequest
 
 UNCONFIGURED_RETRY_S = 0.5
+UNCONFIGURED_WAIT_S = 0.3  # the store answers a starting process well within this
+UNCONFIGURED_LOOK_S = 0.02
 RETRY_AFTER = "Retry-After"
 
 
@@ -197,7 +200,7 @@
     async def _accept(
         self, request: web.BaseRequest, decoded: CallerRequest, arrival_s: float
     ) -> Job:
-        configuration = self._catalogue.configuration
+        configuration = await self._configuration()
         if self.refusing:
             raise RefusedError("the process is stopping", retry_after_s=0.0)
         if configuration is None:
@@ -237,8 +240,16 @@
             arrival_s=arrival_s,
             version=configuration.version,
             patient=configuration.patient(route, target.name),
+            shortest_pause_ms=configuration.shortest_pause_ms(target.name),
         )
 
+    async def _configuration(self) -> Configuration | None:
+        """Wait a moment for the first configuration of a process that starts."""
+        last_s = self._clock() + UNCONFIGURED_WAIT_S
+        while self._catalogue.configuration is None and self._clock() < last_s:
+            await asyncio.sleep(UNCONFIGURED_LOOK_S)
+        return self._catalogue.configuration
+
     async def _read(self, request: web.BaseRequest, most: int) -> bytes:
         if not request.can_read_body:
             return b""
--- a/src/shallotroad/gateway/job.py
+++ b/src/shallotroad/gateway/job.py
@@ -6,6 +6,7 @@
 
 from shallotroad.catalog.configuration import CallKind
 from shallotroad.policy.placement import Placing
+from shallotroad.policy.placement import pausing_tokens
 
 
 if TYPE_CHECKING:
@@ -30,6 +31,7 @@
         arrival_s: float,
         version: int,
         patient: bool,
+        shortest_pause_ms: float = 0.0,
     ) -> None:
         self.request = request
         self.body = body
@@ -52,6 +54,7 @@
             prompt_tokens=request.prompt_tokens,
             body_bytes=len(body),
             patient=patient,
+            heavy=self._heavy(shortest_pause_ms),
         )
         self.excluded: set[str] = set()
         self.attempts: list[str] = []
@@ -59,6 +62,14 @@
         self.runs = 0
         self.waited_ms = 0.0
 
+    def _heavy(self, shortest_pause_ms: float) -> bool:
+        """Return whether reading its prompt makes other streams pause too long."""
+        engine = self.service.engine
+        if engine is None or not shortest_pause_ms:
+            return False
+        limit = pausing_tokens(shortest_pause_ms, engine.tokens_per_event)
+        return self.request.prompt_tokens > limit
+
     def urgency(self, now_s: float) -> tuple[int, int, bool, float]:
         """Order among waiting jobs: the team's tier, the route's, the objective.
 
--- a/src/shallotroad/policy/placement.py
+++ b/src/shallotroad/policy/placement.py
@@ -11,6 +11,8 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from shallotroad.policy.endpoint_load import PAIRS_PER_MS
+from shallotroad.policy.endpoint_load import PREFILL_TOKENS_PER_MS
 from shallotroad.policy.endpoint_load import READING_SHARE
 
 
@@ -29,6 +31,9 @@
 MOST_EXPRESS_SHARE = 0.67  # of the engines, kept clear of patient streams' prompts
 EXPRESS_HEADROOM = 1.5  # times the work of urgent streams; they must not queue
 PATIENT_ON_EXPRESS_MS = 1_500.0
+HEAVY_MS = 60.0  # for each stream that a long prompt makes pause
+CHUNK_TOKENS = 2048  # of prompts that engines read in a step
+STEP_MS = 10.0  # of an engine with some thirty streams and no prompt
 URGENT_ON_BULK_MS = 400.0  # pauses that other streams' long prompts cause
 
 
@@ -40,6 +45,7 @@
     prompt_tokens: int
     body_bytes: int
     patient: bool
+    heavy: bool = False
 
 
 class Candidate(NamedTuple):
@@ -81,6 +87,17 @@
     return max(endpoints, key=lambda endpoint: _weight(part, endpoint))
 
 
+def pausing_tokens(pause_ms: float, tokens_per_event: int) -> float:
+    """Return the prompt above which its reading makes other streams pause.
+
+    A step reads a chunk against all that was read before, and each running
+    stream gets one token a step.
+    """
+    step_ms = pause_ms / tokens_per_event
+    chunk_ms = CHUNK_TOKENS / PREFILL_TOKENS_PER_MS
+    return max(0.0, step_ms - STEP_MS - chunk_ms) / CHUNK_TOKENS * PAIRS_PER_MS
+
+
 def express_engines(
     service: str, endpoints: Sequence[str], *, urgent_ms: float, patient_ms: float
 ) -> frozenset[str]:
@@ -136,6 +153,8 @@
         reserved = record.identifier in express
         if express and placing.patient == reserved:
             cost_ms += PATIENT_ON_EXPRESS_MS if reserved else URGENT_ON_BULK_MS
+        if reserved and placing.heavy:
+            cost_ms += HEAVY_MS * load.all_running(now_s)
         ranked.append(
             Candidate(load, cost_ms, prefill_ms, backlog_ms, cached, reserved)
         )
