Count a second reading as dear only while the part is in use

Cause: a part that nobody had used for ten seconds still drew its requests to the engine that read it once, over data centres and to crowded engines. Change: the surcharge holds for parts used within the deployment's reuse time; distance 14 ms a KiB.

--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -60,8 +60,10 @@
         membership: Membership,
         cold_start: ColdStart,
         placed: Callable[[str, tuple[PromptPart, ...]], None],
+        reuse_s: float,
         clock: Callable[[], float],
     ) -> None:
+        self._reuse_s = reuse_s
         self._placed = placed
         self._fleet = fleet
         self._catalogue = catalogue
@@ -147,7 +149,7 @@
         now_s = self._clock()
         loads = self._fleet.usable(job, self._catalogue)
         express = self._fleet.express(job.service) if job.streams else frozenset()
-        ranked = rank_engines(job.placing, loads, now_s, express)
+        ranked = rank_engines(job.placing, loads, now_s, express, reuse_s=self._reuse_s)
         for candidate in ranked:
             load = candidate.load
             if load.all_running(now_s) >= load.record.slots:
@@ -165,7 +167,7 @@
         due_s = load.begin(candidate.prefill_ms, now_s, urgent_tokens=tokens)
         if job.service.engine is not None:
             load.memory_tokens = job.service.engine.memory_tokens
-            load.note_parts(job.placing.parts)
+            load.note_parts(job.placing.parts, now_s)
             self._placed(load.record.identifier, job.placing.parts)
         return candidate._replace(due_s=due_s)
 
--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -92,6 +92,7 @@
         membership=membership,
         cold_start=ColdStart(entry=settings.name),
         placed=reports.placed,
+        reuse_s=settings.bounds.reuse_s,
         clock=clock,
     )
     metrics = GatewayMetrics()
--- a/src/shallotroad/gateway/load_reports.py
+++ b/src/shallotroad/gateway/load_reports.py
@@ -77,7 +77,7 @@
             for name, *parts in placements:
                 known = by_name.get(name)
                 if known is not None:
-                    known.note_parts([PromptPart(*part) for part in parts])
+                    known.note_parts([PromptPart(*part) for part in parts], now_s)
         except (AttributeError, TypeError, ValueError) as error:
             logger.bind(why=repr(error)).warning("malformed load report")
 
--- a/src/shallotroad/policy/endpoint_load.py
+++ b/src/shallotroad/policy/endpoint_load.py
@@ -57,6 +57,13 @@
     reported_s: float
 
 
+class CachedPart(NamedTuple):
+    """A prompt part that an engine has probably cached."""
+
+    tokens: int
+    used_s: float
+
+
 class EndpointLoad:
     """Running work, prompt backlog, pace, failures and cached parts."""
 
@@ -80,7 +87,7 @@
         self._failure_weight = 0.0
         self._success_weight = 0.0
         self._judged_s = now_s
-        self._parts: OrderedDict[str, int] = OrderedDict()
+        self._parts: OrderedDict[str, CachedPart] = OrderedDict()
         self.memory_tokens = 0
         self._peers: dict[str, PeerLoad] = {}
         self.avoided_until_s = 0.0
@@ -251,15 +258,21 @@
             tokens += part.tokens
         return tokens
 
-    def note_parts(self, parts: Sequence[PromptPart]) -> None:
+    def used_since(self, identifier: str, since_s: float) -> bool:
+        """Return whether a part was used here since a monotonic time."""
+        held = self._parts.get(identifier)
+        return held is not None and held.used_s >= since_s
+
+    def note_parts(self, parts: Sequence[PromptPart], now_s: float) -> None:
         """Note that the parts are read there now."""
         for part in parts:
-            self._part_tokens += part.tokens - self._parts.pop(part.identifier, 0)
-            self._parts[part.identifier] = part.tokens
+            held = self._parts.pop(part.identifier, None)
+            self._part_tokens += part.tokens - (held.tokens if held else 0)
+            self._parts[part.identifier] = CachedPart(part.tokens, now_s)
         full = self.memory_tokens * CACHE_SHARE if self.memory_tokens else math.inf
         while self._part_tokens > full or len(self._parts) > MOST_PARTS:
-            _, tokens = self._parts.popitem(last=False)
-            self._part_tokens -= tokens
+            _, oldest = self._parts.popitem(last=False)
+            self._part_tokens -= oldest.tokens
 
     def restart(self, record: EndpointRecord, now_s: float) -> None:
         """Forget what belonged to an earlier incarnation."""
--- a/src/shallotroad/policy/placement.py
+++ b/src/shallotroad/policy/placement.py
@@ -25,9 +25,9 @@
 REREAD_MS_PER_TOKEN = 0.2  # reading twice takes time that waiting prompts need
 CROWDING_MS = 2.0  # delay that each running request adds to a first event
 DISTANCE_MS = 6.0  # there and back to another data centre, with its transfer
-DISTANCE_MS_PER_KIB = 8.0  # bytes between data centres are scarce
+DISTANCE_MS_PER_KIB = 14.0  # bytes between data centres are scarce
 FAILURE_MS = 4_000.0  # what a certain failure costs; falls with the share's square
-HOME_SHARE = 0.15  # preference for a part's home while nobody is known to cache it
+HOME_MS_PER_TOKEN = 0.03  # preference for a part's home while no cache is known
 MOST_EXPRESS_SHARE = 0.67  # of the engines, kept clear of patient streams' prompts
 EXPRESS_HEADROOM = 1.5  # times the work of urgent streams; they must not queue
 PATIENT_ON_EXPRESS_MS = 1_500.0
@@ -121,6 +121,8 @@
     loads: Sequence[EndpointLoad],
     now_s: float,
     express: frozenset[str] = frozenset(),
+    *,
+    reuse_s: float,
 ) -> list[Candidate]:
     """Return the engines with their costs, the cheapest first."""
     if not loads:
@@ -131,6 +133,12 @@
     told = shared and any(load.cached_tokens(shared[:1]) for load in loads)
     home = home_of(shared[-1].identifier, homes) if shared and not told else ""
     shared_tokens = sum(part.tokens for part in shared)
+    since_s = now_s - reuse_s
+    warm_tokens = sum(
+        part.tokens
+        for part in shared
+        if any(load.used_since(part.identifier, since_s) for load in loads)
+    )
     ranked = []
     for load in loads:
         record = load.record
@@ -142,10 +150,10 @@
         if placing.patient:
             wait_ms = max(wait_ms, load.debt_ms(now_s) / READING_SHARE)
         cost_ms = wait_ms + prefill_ms
-        unread = max(0, shared_tokens - cached)
-        if record.identifier == home:
-            unread = int((1 - HOME_SHARE) * unread)
+        unread = max(0, warm_tokens - cached)
         cost_ms += REREAD_MS_PER_TOKEN * unread
+        if record.identifier == home:
+            cost_ms -= HOME_MS_PER_TOKEN * shared_tokens
         cost_ms += CROWDING_MS * load.all_running(now_s)
         cost_ms += FAILURE_MS * load.failure_share(now_s) ** 2
         if record.data_centre != placing.data_centre:
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -177,6 +177,7 @@
         membership=membership,
         cold_start=ColdStart(entry="entry-1"),
         placed=lambda endpoint, parts: placed.append((endpoint, parts)),
+        reuse_s=10.0,
         clock=clock,
     )
     catalogue.adopt_configuration(make_configuration())
