Close kept connections while stopping; ask peers only for what is missing

Ruled out: refusals by the balancer (it sends no new connections by then). Change: once new connections have ceased, idle kept connections are closed and busy ones after their answer; peers hand over documents newer than the newest one held. Both have a test that failed before.

--- a/src/shallotroad/gateway/door.py
+++ b/src/shallotroad/gateway/door.py
@@ -21,6 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from aiohttp.web_protocol import RequestHandler
+
     from shallotroad.catalog.catalogue import Catalogue
     from shallotroad.catalog.configuration import Configuration
     from shallotroad.gateway.forwarder import Forwarder
@@ -87,16 +89,19 @@
         self.closing = False
         self.refusing = False
         self.open_requests = 0
+        self.busy: set[RequestHandler] = set()
         self._metrics = metrics
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of a caller."""
         arrival_s = self._clock()
         self.open_requests += 1
+        self.busy.add(request.protocol)
         try:
             return await self._serve(request, arrival_s)
         finally:
             self.open_requests -= 1
+            self.busy.discard(request.protocol)
 
     async def _serve(
         self, request: web.BaseRequest, arrival_s: float
--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -186,7 +186,7 @@
     ]
     decided("started", callers=str(settings.callers), data_centre=settings.data_centre)
     await stop.wait()
-    await _drain(parts)
+    await _drain(parts, servers[0][0])
     for _, listener in servers:
         listener.close()
     for server, _ in servers:
@@ -209,7 +209,7 @@
         await asyncio.sleep(RESTART_S)
 
 
-async def _drain(parts: Parts) -> None:
+async def _drain(parts: Parts, callers: web.Server) -> None:
     """Finish what runs: new connections still arrive for a short while."""
     door = parts.door
     door.closing = True
@@ -219,7 +219,13 @@
     last_s = begun_s + parts.settings.bounds.grace_s - EXIT_RESERVE_S
     while time.monotonic() < last_s:
         lingered = time.monotonic() - begun_s > LINGER_S
-        door.refusing = lingered
+        if lingered and not door.refusing:
+            door.refusing = True
+            for connection in callers.connections:
+                if connection in door.busy:
+                    connection.close()  # after its answer
+                else:
+                    connection.force_close()
         if lingered and door.open_requests == 0:
             return
         await asyncio.sleep(0.05)
--- a/src/shallotroad/gateway/news.py
+++ b/src/shallotroad/gateway/news.py
@@ -31,6 +31,7 @@
 GATHER_S = 0.15  # between watches, so that one call brings several changes
 FIRST_BACKOFF_S = 0.1
 LONGEST_BACKOFF_S = 0.5
+MOST_REMOVALS = 10_000  # remembered, so that no peer brings back what is gone
 RETURN_S = 2.2  # lapsed announcements are back within about two seconds
 
 
@@ -44,6 +45,7 @@
         self._catalogue = catalogue
         self._clock = clock
         self._documents: dict[str, Document] = {}
+        self._known_revision = -1
         self.revision = -1
         self.connected = False
         self.heard_s = 0.0
@@ -51,9 +53,14 @@
 
     # Documents
 
-    def snapshot(self) -> list[Document]:
-        """Return the newest known document of each key, removals included."""
-        return list(self._documents.values())
+    def snapshot(self, after: int) -> list[Document]:
+        """Return the documents newer than a revision, removals included."""
+        return [d for d in self._documents.values() if d.revision > after]
+
+    @property
+    def known_revision(self) -> int:
+        """Revision of the newest document held, from the store or from a peer."""
+        return self._known_revision
 
     def _gone_s(self) -> float:
         return self._regained_s + RETURN_S
@@ -67,6 +74,8 @@
         if subject is None:
             return
         self._documents[document.key] = document
+        self._known_revision = max(self._known_revision, document.revision)
+        self._forget_removals()
         if isinstance(subject, ClosingSubject):
             self._close(subject, document)
         elif isinstance(subject, ConfigurationSubject):
@@ -74,6 +83,14 @@
         else:
             self._announce(subject, document)
 
+    def _forget_removals(self) -> None:
+        if len(self._documents) <= 2 * MOST_REMOVALS:
+            return
+        removed = [d for d in self._documents.values() if d.value is None]
+        removed.sort(key=lambda d: d.revision)
+        for document in removed[:-MOST_REMOVALS]:
+            del self._documents[document.key]
+
     def _close(self, subject: ClosingSubject, document: Document) -> None:
         closed = document.value is not None
         if closed:
--- a/src/shallotroad/gateway/peers.py
+++ b/src/shallotroad/gateway/peers.py
@@ -69,7 +69,7 @@
         return orjson.dumps(
             {
                 "members": self._membership.table(),
-                "revision": self._news.revision,
+                "revision": self._news.known_revision,
             }
         )
 
@@ -90,7 +90,9 @@
                 return web.Response(status=400)
             return web.Response(body=self._state())
         if request.path == SNAPSHOT_PATH:
-            rows = _documents_to_rows(self._news.snapshot())
+            after = request.query.get("after", "")
+            known = int(after) if after.isdigit() else -1
+            rows = _documents_to_rows(self._news.snapshot(known))
             return web.Response(body=orjson.dumps(rows))
         return web.Response(status=404)
 
@@ -113,7 +115,10 @@
             url = f"http://{address}{EXCHANGE_PATH}"
             async with self._session.post(url, data=self._state()) as answer:
                 state = self._take(await answer.read())
-            if not self._news.connected and state["revision"] > self._news.revision:
+            if (
+                not self._news.connected
+                and state["revision"] > self._news.known_revision
+            ):
                 await self._fetch_snapshot(address)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             logger.bind(peer=address, why=repr(error)).debug("peer not reached")
@@ -122,7 +127,9 @@
 
     async def _fetch_snapshot(self, address: str) -> None:
         assert self._session is not None
-        async with self._session.get(f"http://{address}{SNAPSHOT_PATH}") as answer:
+        url = f"http://{address}{SNAPSHOT_PATH}"
+        query = {"after": str(self._news.known_revision)}
+        async with self._session.get(url, params=query) as answer:
             documents = _rows_to_documents(orjson.loads(await answer.read()))
         decided("documents taken from a peer", peer=address, n=len(documents))
         for document in documents:
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -357,3 +357,29 @@
     assert by_id["q1"]["version"] == 1
     assert by_id["q2"]["outcome"] == "rejected 404"
     assert len(lines) == 2
+
+
+async def test_a_kept_connection_is_closed_while_other_answers_finish(
+    bench: Bench,
+) -> None:
+    endpoint = await bench.add_endpoint("m1", "model", "stream")
+    await bench.add_endpoint("s1", "shop", "ok")
+    endpoint.events = 90
+    patient = RouteSpec("/chat/", "streaming", "model", 9000, 1)
+    bench.publish(2, [patient, RouteSpec("/stock/", "safe", "shop")])
+    await bench.start()
+    stream = asyncio.create_task(
+        bench.ask("/chat/1", "q1", body=b"hello", **{"X-Deadline-Ms": "9000"})
+    )
+    await until(lambda: bool(endpoint.seen))
+    reader, writer = await asyncio.open_connection(HOST, bench.ports["g1"]["front"])
+    head = "".join(f"{name}: {value}\r\n" for name, value in HEADERS.items())
+    writer.write(f"GET /stock/1 HTTP/1.1\r\n{head}X-Request-Id: q2\r\n\r\n".encode())
+    assert b"200" in await reader.readline()
+    bench.processes["g1"].send_signal(signal.SIGTERM)
+    async with asyncio.timeout(4):
+        while await reader.read(4096):
+            pass
+    assert not stream.done()
+    stream.cancel()
+    writer.close()
--- a/tests/unit/gateway/test_news.py
+++ b/tests/unit/gateway/test_news.py
@@ -112,3 +112,14 @@
     subject.news.apply(endpoint("e1", 12))
     subject.news.apply_list(Batch(9, [endpoint("e2", 3)]))
     assert set(subject.catalogue.endpoints) == {"e1", "e2"}
+
+
+def test_a_peer_gets_only_what_it_lacks_removals_included() -> None:
+    subject = Subject()
+    subject.news.apply(endpoint("e1", 2))
+    subject.news.apply(endpoint("e2", 3))
+    subject.news.apply(Document("servers/e2", 5, None))
+    assert subject.news.known_revision == 5
+    assert [d.key for d in subject.news.snapshot(2)] == ["servers/e2"]
+    assert subject.news.snapshot(5) == []
+    assert len(subject.news.snapshot(-1)) == 2
