--- a/src/shallotroad/gateway/load_reports.py
+++ b/src/shallotroad/gateway/load_reports.py
@@ -27,7 +27,8 @@
 
 REPORT_S = 0.2
 NAME_CHARACTERS = 6  # of an endpoint's name, enough to tell a service's apart
-MOST_PEERS = 8  # told in one round; more are told in turn, at random
+MOST_PEERS = 64  # told in one round; more are told in turn, at random
+PEERS_AT_FULL_RATE = 12  # with more, rounds are rarer, so that links stay free
 MOST_PLACEMENTS = 30  # in one datagram of about 1 KB
 NOTED_TOKENS = 200  # shorter parts are as fast to read as to tell of
 
@@ -106,7 +107,9 @@
     async def send_regularly(self) -> None:
         """Report until cancelled."""
         while True:
-            await asyncio.sleep(REPORT_S * self._rng.uniform(0.9, 1.1))
+            peers = min(MOST_PEERS, len(self._membership.hosts(self._clock())))
+            pause_s = REPORT_S * max(1.0, peers / PEERS_AT_FULL_RATE)
+            await asyncio.sleep(pause_s * self._rng.uniform(0.9, 1.1))
             self.send()
 
 
