--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -67,7 +67,7 @@
 def build(settings: MachineSettings) -> Parts:
     """Build the parts of a gateway."""
     clock = time.monotonic
-    fleet = Fleet(clock=clock, regions=settings.regions, started_s=clock())
+    fleet = Fleet(clock=clock, regions=settings.regions)
     catalogue = Catalogue(on_endpoint=fleet.put, on_gone=fleet.drop)
     store = StoreClient(address=settings.store)
     membership = Membership(
--- a/src/shallotroad/gateway/fleet.py
+++ b/src/shallotroad/gateway/fleet.py
@@ -22,12 +22,9 @@
 class Fleet:
     """Loads and connection pools by endpoint."""
 
-    def __init__(
-        self, *, clock: Callable[[], float], regions: dict[str, str], started_s: float
-    ) -> None:
+    def __init__(self, *, clock: Callable[[], float], regions: dict[str, str]) -> None:
         self._clock = clock
         self._regions = regions
-        self._started_s = started_s
         self.loads: dict[str, EndpointLoad] = {}
         self._pools: dict[str, ConnectionPool] = {}
         self.changed: Callable[[], None] = lambda: None
--- a/src/shallotroad/platform/settings.py
+++ b/src/shallotroad/platform/settings.py
@@ -29,17 +29,10 @@
 class Bounds(NamedTuple):
     """Promises of the deployment, as times and ratios."""
 
-    contact_s: float = 3.0
-    drain_s: float = 2.0
     grace_s: float = 8.0
-    configuration_s: float = 2.0
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 50.0
-    cold_overshoot: float = 1.5
-    cold_slack: float = 5.0
-    closing_s: float = 5.0
-    pass_ms: float = 120.0
     reuse_s: float = 10.0
 
 
@@ -102,22 +95,11 @@
 
 def _bounds(table: dict[str, Any]) -> Bounds:
     standard = Bounds()
-
-    def seconds(name: str, default_s: float) -> float:
-        return float(table.get(name, default_s * MS_PER_S)) / MS_PER_S
-
     return Bounds(
-        contact_s=seconds("contact-ms", standard.contact_s),
-        drain_s=seconds("drain-timeout-ms", standard.drain_s),
         grace_s=float(table.get("grace-s", standard.grace_s)),
-        configuration_s=seconds("config-propagation-ms", standard.configuration_s),
         retry_ratio=float(table.get("retry-budget-ratio", standard.retry_ratio)),
         retry_window_s=float(table.get("budget-window-s", standard.retry_window_s)),
         retry_slack=float(table.get("budget-slack", standard.retry_slack)),
-        cold_overshoot=float(table.get("cold-overshoot", standard.cold_overshoot)),
-        cold_slack=float(table.get("cold-slack", standard.cold_slack)),
-        closing_s=seconds("evacuate-ms", standard.closing_s),
-        pass_ms=float(table.get("pass-ms", standard.pass_ms)),
         reuse_s=float(table.get("again-s", standard.reuse_s)),
     )
 
--- a/src/shallotroad/upstream/pool.py
+++ b/src/shallotroad/upstream/pool.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from shallotroad.upstream.connection import connect
-from shallotroad.upstream.exceptions import ConnectError
 
 
 if TYPE_CHECKING:
@@ -69,6 +68,3 @@
         for connection in self._idle:
             connection.close()
         self._idle.clear()
-
-
-__all__ = ["ConnectError", "ConnectionPool"]
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -167,7 +167,7 @@
 
 def make_desk(endpoints: int = 6, **record: Any) -> Desk:
     clock = Clock()
-    fleet = Fleet(clock=clock, regions={"a": "r"}, started_s=clock())
+    fleet = Fleet(clock=clock, regions={"a": "r"})
     catalogue = Catalogue(on_endpoint=fleet.put, on_gone=fleet.drop)
     membership = Membership(name="entry-1", address="", incarnation=1, seeds=())
     placed: list[tuple[str, tuple[PromptPart, ...]]] = []
--- a/tests/unit/platform/test_settings.py
+++ b/tests/unit/platform/test_settings.py
@@ -28,15 +28,15 @@
             "control": "127.0.0.1:7000",
         },
         "provider": {"address": "127.0.0.1:6000"},
-        "bounds": {"contact-ms": 4000, "grace-s": 9},
+        "bounds": {"budget-slack": 94, "grace-s": 9},
         "a-new-field": 1,
     }
     return {**table, **changes}
 
 
-def test_settings_are_decoded_with_units() -> None:
+def test_settings_are_decoded() -> None:
     settings = decode_settings(make_table())
-    assert settings.bounds.contact_s == 4.0
+    assert settings.bounds.retry_slack == 94.0
     assert settings.bounds.grace_s == 9.0
     assert settings.callers.port == 8000
     assert [str(seed) for seed in settings.seeds] == ["127.0.0.1:7000"]
