Tell the endpoint's own failure when nothing better comes

Cause: read in the code. A failure that an endpoint had signed was dropped when the repeat was lost or not allowed, and the caller got 502; a failure in place of the rest of a resumed stream was sent as a second answer; endpoints that report failures were not held to be failing. Change: the signed failure is kept and told at the end; a resumed stream that gets a failure is broken; reported failures count against the endpoint. Tests: three with real processes.

--- a/src/shallotroad/gateway/fleet.py
+++ b/src/shallotroad/gateway/fleet.py
@@ -109,6 +109,12 @@
             patient_ms=sum(patient for _, patient in works),
         )
 
+    def note_failure(self, identifier: str) -> None:
+        """Note a failure that an endpoint itself reported."""
+        load = self.loads.get(identifier)
+        if load is not None:
+            load.fail(self._clock())
+
     def opened_connections(self) -> int:
         """Return the connections opened so far to known endpoints."""
         return sum(pool.opened for pool in self._pools.values())
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -42,6 +42,7 @@
 
 FINAL_SLACK_S = 0.15  # an answer due now is still worth sending this much later
 MOST_SENDS = 4
+SERVER_FAILURE = 500  # first status that blames the endpoint
 FULL_RETRY_S = 0.3  # endpoints that refuse have room again after a few answers
 AVOID_S = 1.0  # an endpoint without a connection is left alone for this long
 ONCE_IDLE_S = 1.0  # a request that runs once goes on recently used connections only
@@ -78,7 +79,14 @@
 
 
 class UnknownError(Exception):
-    """An attempt may have run, and brought no whole answer."""
+    """An attempt may have run, and brought no whole answer or a failure.
+
+    ``answer`` is the endpoint's own failure, to be told if nothing better comes.
+    """
+
+    def __init__(self, reason: str, *, answer: Answer | None = None) -> None:
+        super().__init__(reason)
+        self.answer = answer
 
 
 class Forwarder:
@@ -128,23 +136,32 @@
         """
         self._budget(job.service.name).note_request(self._clock())
         cutter = self._make_cutter() if job.streams else None
-        ran = False
-        while True:
-            try:
-                candidate = await self._admission.place(job)
-            except RefusedError:
-                if cutter is not None and cutter.begun:
-                    raise BrokenStreamError("no endpoint to resume at") from None
-                if ran:
-                    raise UnknownOutcomeError("no endpoint left", status=502) from None
+        failure: Answer | None = None
+        try:
+            while True:
+                candidate = await self._place(job, cutter)
+                try:
+                    return await self._attempt(job, candidate, caller, cutter)
+                except NotRunError as error:
+                    self._go_on(job, candidate, error, cutter)
+                except UnknownError as error:
+                    failure = error.answer or failure
+                    self._give_up_or_repeat(job, candidate, error, cutter)
+        except UnknownOutcomeError:
+            if failure is None:
                 raise
-            try:
-                return await self._attempt(job, candidate, caller, cutter)
-            except NotRunError as error:
-                self._go_on(job, candidate, error, cutter, ran=ran)
-            except UnknownError as error:
-                ran = True
-                self._give_up_or_repeat(job, candidate, error, cutter)
+            return failure
+
+    async def _place(self, job: Job, cutter: EventCutter | None) -> Candidate:
+        """Place a job; a refusal is told as such only if nothing has run."""
+        try:
+            return await self._admission.place(job)
+        except RefusedError:
+            if cutter is not None and cutter.begun:
+                raise BrokenStreamError("no endpoint to resume at") from None
+            if job.runs:
+                raise UnknownOutcomeError("no endpoint left", status=502) from None
+            raise
 
     def _note(self, job: Job, candidate: Candidate, outcome: str, why: object) -> None:
         self._metrics.attempts.inc({"end": outcome})
@@ -163,8 +180,6 @@
         candidate: Candidate,
         error: NotRunError,
         cutter: EventCutter | None,
-        *,
-        ran: bool,
     ) -> None:
         self._note(job, candidate, "not run", error)
         job.excluded.add(candidate.load.record.identifier)
@@ -180,7 +195,7 @@
             return
         if cutter is not None and cutter.begun:
             raise BrokenStreamError("not resumed")
-        if ran:
+        if job.runs:
             raise UnknownOutcomeError("not repeated", status=502)
         raise RefusedError("endpoints are full", retry_after_s=FULL_RETRY_S)
 
@@ -245,7 +260,10 @@
                 answer = await self._receive(
                     job, connection, caller, cutter, progress, patience
                 )
-            load.succeed(self._clock())
+            if answer is not None and answer.head.status >= SERVER_FAILURE:
+                load.fail(self._clock())
+            else:
+                load.succeed(self._clock())
             self._metrics.attempts.inc({"end": "answered"})
             pool.release(connection)
             connection = None
@@ -331,9 +349,13 @@
             if head.length is not None and head.length != len(body):
                 raise ConnectionLostError("the body ends early")
             progress.start(self._clock())
-            if head.status >= 500 and self._worth_repeating(job):
-                raise UnknownError(f"status {head.status}")
-            return Answer(head, body)
+            answer = Answer(head, body)
+            if cutter is not None and cutter.begun:
+                raise UnknownError(f"status {head.status} instead of the rest")
+            if head.status >= SERVER_FAILURE and self._worth_repeating(job):
+                self._fleet.note_failure(job.attempts[-1])
+                raise UnknownError(f"status {head.status}", answer=answer)
+            return answer
         assert cutter is not None
         await self._stream(job, connection, caller, cutter, progress, patience, head)
         return None
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -229,6 +229,44 @@
     assert (await bench.ask("/book/1", "q1", body=b"x")).status == 502
 
 
+async def test_the_endpoints_own_failure_is_told_when_nothing_better_comes(
+    bench: Bench,
+) -> None:
+    for name in ("s1", "s2"):
+        await bench.add_endpoint(name, "shop", "error")
+    await bench.start()
+    reply = await bench.ask("/stock/1", "q1")
+    assert reply.status == 500
+    assert reply.headers["X-Replica-Signature"] in bench.endpoints
+    assert sum(len(e.seen) for e in bench.endpoints.values()) == 2
+
+
+async def test_an_endpoint_failure_is_told_when_the_repeat_is_lost(
+    bench: Bench,
+) -> None:
+    await bench.add_endpoint("s1", "shop", "error")
+    await bench.add_endpoint("s2", "shop", "reset")
+    await bench.start()
+    replies = [await bench.ask("/stock/1", f"q{n}") for n in range(4)]
+    assert {reply.status for reply in replies} == {500}
+
+
+async def test_a_failure_in_place_of_the_rest_of_a_stream_is_no_answer(
+    bench: Bench,
+) -> None:
+    for name in ("m1", "m2"):
+        await bench.add_endpoint(name, "model", "cut")
+    await bench.start()
+    task = asyncio.create_task(bench.ask("/notes/1", "q1", body=b"hello"))
+    await until(lambda: any(e.seen for e in bench.endpoints.values()))
+    for endpoint in bench.endpoints.values():
+        if not endpoint.seen:
+            endpoint.mode = "error"
+    reply = await task
+    assert not reply.whole
+    assert reply.body == events(2, "q1")
+
+
 async def test_half_a_stream_never_looks_complete(bench: Bench) -> None:
     await bench.add_endpoint("m1", "model", "cut")
     await bench.start()
