Replace the test of SIGTERM during the start by one that waits for our code

Trace: the interpreter itself had not yet run a line of this program, so no handler could exist; it held nothing. The old test assumed that 0.3 s are enough for the interpreter to start. The new pair is as strict where the program can act: the handlers stand before anything heavy is imported, and a signal at eight moments after the handler is caught by the kernel's own word ends with 0.

--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -6,7 +6,10 @@
 import json
 import os
 import signal
+import subprocess
 import sys
+from functools import partial
+from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -24,7 +27,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
-    from pathlib import Path
 
 KEY = "k1"
 HEADERS = {"Host": "clinic.example", "Authorization": f"Token {KEY}"}
@@ -162,6 +164,12 @@
     await made.close()
 
 
+def own_path() -> dict[str, str]:
+    """Return an environment in which only this package can be imported."""
+    source = Path(__file__).parents[2] / "src"
+    return {**os.environ, "PYTHONPATH": str(source)}
+
+
 def events(count: int, request_id: str) -> bytes:
     return b"".join(
         f"id: {n}\ndata: {request_id}-{n}\n\n".encode() for n in range(1, count + 1)
@@ -315,13 +323,31 @@
     assert await asyncio.wait_for(bench.processes["g1"].wait(), 8) == 0
 
 
+def catches_sigterm(pid: int) -> bool:
+    """Tell whether a process has a handler for SIGTERM, from its caught signals."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    caught = next(x for x in status.splitlines() if x.startswith("SigCgt:"))
+    return bool(int(caught.split()[1], 16) >> (signal.SIGTERM - 1) & 1)
+
+
+def test_the_handlers_stand_before_anything_heavy_is_imported() -> None:
+    code = (
+        "import shallotroad.gateway.main, signal, sys\n"
+        "assert signal.getsignal(signal.SIGTERM) is not signal.SIG_DFL\n"
+        "assert not {'aiohttp', 'asyncio', 'uvloop'} & set(sys.modules)\n"
+    )
+    subprocess.run([sys.executable, "-S", "-c", code], env=own_path(), check=True)
+
+
 async def test_sigterm_at_any_moment_of_the_start_ends_cleanly(bench: Bench) -> None:
     for number in range(8):
         name = f"g{number}"
         await bench.start(name, wait=False)
-        await asyncio.sleep(0.3 + 0.1 * number)
-        bench.processes[name].send_signal(signal.SIGTERM)
-    codes = [await asyncio.wait_for(p.wait(), 12) for p in bench.processes.values()]
+        process = bench.processes[name]
+        await until(partial(catches_sigterm, process.pid), 10)
+        await asyncio.sleep(0.1 * number)
+        process.send_signal(signal.SIGTERM)
+    codes = [await asyncio.wait_for(p.wait(), 20) for p in bench.processes.values()]
     assert codes == [0] * 8
 
 
