Keep a place that was given in the moment of the timeout; split the ranking

Cause: read in the code. When room came and the wait ended in the same turn of the event loop, the job was refused but its load stayed counted: one place of the endpoint was lost for good. Change: such a job keeps its place. The test fails without the change. The ranking of engines is cut into functions with one job each; no figure changes.

--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -95,31 +95,31 @@
             raise RefusedError("no endpoint", retry_after_s=self._retry_after_s(job))
         if len(self._waiting) >= MOST_WAITING:
             raise RefusedError("queue full", retry_after_s=self._retry_after_s(job))
+        return await self._wait(job, now_s)
+
+    async def _wait(self, job: Job, now_s: float) -> Candidate:
+        """Wait until the job is placed, at most for a share of its time."""
         placed: asyncio.Future[Candidate] = asyncio.get_running_loop().create_future()
         waiter = Waiter(job, placed, now_s)
         self._waiting.append(waiter)
-        last_s = now_s + LAST_START_SHARE * (job.end_s - now_s)
         try:
-            async with asyncio.timeout(max(0.0, last_s - now_s)):
-                candidate = await placed
+            async with asyncio.timeout(LAST_START_SHARE * (job.end_s - now_s)):
+                return await placed
         except TimeoutError:
+            if placed.done() and not placed.cancelled():
+                return placed.result()  # placed in the moment of the timeout
             raise RefusedError(
                 "no room in time", retry_after_s=self._retry_after_s(job)
             ) from None
         except asyncio.CancelledError:
             if placed.done() and not placed.cancelled():
-                candidate = placed.result()
-                candidate.load.end(
-                    candidate.due_s,
-                    started=False,
-                    now_s=self._clock(),
-                )
+                unused = placed.result()
+                unused.load.end(unused.due_s, started=False, now_s=self._clock())
             raise
         finally:
             if waiter in self._waiting:
                 self._waiting.remove(waiter)
             job.waited_ms += (self._clock() - now_s) * 1000
-        return candidate
 
     def _retry_after_s(self, job: Job) -> float:
         """Return when a caller may come back with time left to be answered."""
--- a/src/shallotroad/policy/placement.py
+++ b/src/shallotroad/policy/placement.py
@@ -116,6 +116,42 @@
     return frozenset(ranked[:count])
 
 
+def _warm_tokens(
+    shared: Sequence[PromptPart], loads: Sequence[EndpointLoad], since_s: float
+) -> int:
+    """Return the tokens of shared parts that some engine used recently."""
+    return sum(
+        part.tokens
+        for part in shared
+        if any(load.used_since(part.identifier, since_s) for load in loads)
+    )
+
+
+def _home(
+    placing: Placing, loads: Sequence[EndpointLoad], express: frozenset[str]
+) -> str:
+    """Return the home of a prompt that no engine is known to have cached."""
+    shared = placing.parts[:-1]
+    if not shared or any(load.cached_tokens(shared[:1]) for load in loads):
+        return ""
+    names = [load.record.identifier for load in loads]
+    homes = [name for name in names if (name in express) != placing.patient]
+    return home_of(shared[-1].identifier, homes or names)
+
+
+def _interference_ms(
+    placing: Placing, load: EndpointLoad, express: frozenset[str], now_s: float
+) -> float:
+    """Return what streams of the other kind cost a request, or it them."""
+    cost_ms = CROWDING_MS * load.all_running(now_s)
+    reserved = load.record.identifier in express
+    if express and placing.patient == reserved:
+        cost_ms += PATIENT_ON_EXPRESS_MS if reserved else URGENT_ON_BULK_MS
+    if reserved and placing.heavy:
+        cost_ms += HEAVY_MS * load.all_running(now_s)
+    return cost_ms
+
+
 def rank_engines(
     placing: Placing,
     loads: Sequence[EndpointLoad],
@@ -125,46 +161,36 @@
     reuse_s: float,
 ) -> list[Candidate]:
     """Return the engines with their costs, the cheapest first."""
-    if not loads:
-        return []
     shared = placing.parts[:-1]
-    names = [load.record.identifier for load in loads]
-    homes = [n for n in names if (n in express) != placing.patient] or names
-    told = shared and any(load.cached_tokens(shared[:1]) for load in loads)
-    home = home_of(shared[-1].identifier, homes) if shared and not told else ""
     shared_tokens = sum(part.tokens for part in shared)
-    since_s = now_s - reuse_s
-    warm_tokens = sum(
-        part.tokens
-        for part in shared
-        if any(load.used_since(part.identifier, since_s) for load in loads)
-    )
+    warm_tokens = _warm_tokens(shared, loads, now_s - reuse_s)
+    home = _home(placing, loads, express)
     ranked = []
     for load in loads:
         record = load.record
         cached = load.cached_tokens(placing.parts)
         uncached = max(0, placing.prompt_tokens - cached)
         prefill_ms = load.prefill_ms(uncached, placing.prompt_tokens - uncached)
-        backlog_ms = load.backlog_ms(now_s)
-        wait_ms = backlog_ms
+        backlog_ms = wait_ms = load.backlog_ms(now_s)
         if placing.patient:
             wait_ms = max(wait_ms, load.debt_ms(now_s) / READING_SHARE)
         cost_ms = wait_ms + prefill_ms
-        unread = max(0, warm_tokens - cached)
-        cost_ms += REREAD_MS_PER_TOKEN * unread
+        cost_ms += REREAD_MS_PER_TOKEN * max(0, warm_tokens - cached)
+        cost_ms += _interference_ms(placing, load, express, now_s)
+        cost_ms += FAILURE_MS * load.failure_share(now_s) ** 2
         if record.identifier == home:
             cost_ms -= HOME_MS_PER_TOKEN * shared_tokens
-        cost_ms += CROWDING_MS * load.all_running(now_s)
-        cost_ms += FAILURE_MS * load.failure_share(now_s) ** 2
         if record.data_centre != placing.data_centre:
             cost_ms += DISTANCE_MS + DISTANCE_MS_PER_KIB * placing.body_bytes / 1024
-        reserved = record.identifier in express
-        if express and placing.patient == reserved:
-            cost_ms += PATIENT_ON_EXPRESS_MS if reserved else URGENT_ON_BULK_MS
-        if reserved and placing.heavy:
-            cost_ms += HEAVY_MS * load.all_running(now_s)
         ranked.append(
-            Candidate(load, cost_ms, prefill_ms, backlog_ms, cached, reserved)
+            Candidate(
+                load=load,
+                cost_ms=cost_ms,
+                prefill_ms=prefill_ms,
+                backlog_ms=backlog_ms,
+                cached_tokens=cached,
+                express=record.identifier in express,
+            )
         )
     ranked.sort(key=lambda candidate: candidate.cost_ms)
     return ranked
--- a/tests/unit/gateway/test_burst_of_long_prompts.py
+++ b/tests/unit/gateway/test_burst_of_long_prompts.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
 
 import pytest
@@ -99,3 +100,23 @@
     assert not tasks[0].done()
     tasks[0].cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def test_a_job_placed_in_the_moment_of_its_timeout_keeps_its_place() -> None:
+    desk = make_desk(endpoints=1)
+    (load,) = desk.fleet.loads.values()
+    dues = [load.begin(1.0, desk.clock()) for _ in range(load.record.slots)]
+    job = make_gateway_job(now_s=desk.clock())
+    job.timeout_s = desk.clock() + 0.1
+    task = asyncio.create_task(desk.admission.place(job))
+    await asyncio.sleep(0.01)
+
+    def make_room() -> None:
+        load.end(dues[0], started=False, now_s=desk.clock())
+        desk.admission.pump()
+
+    asyncio.get_running_loop().call_soon(make_room)
+    time.sleep(0.1)  # noqa: ASYNC251 - the timeout falls due in the same turn
+    candidate = await task
+    candidate.load.end(candidate.due_s, started=False, now_s=desk.clock())
+    assert load.running == len(dues) - 1
