--- a/src/shallotroad/catalog/catalogue.py
+++ b/src/shallotroad/catalog/catalogue.py
@@ -9,12 +9,15 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from shallotroad.catalog.configuration import plain_service
+
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
 
     from shallotroad.catalog.configuration import Configuration
+    from shallotroad.catalog.configuration import Service
     from shallotroad.catalog.endpoint import EndpointRecord
 
 
@@ -34,6 +37,8 @@
         Called with each new or changed record.
     on_gone : callable
         Called with the identifier of each endpoint that is gone.
+    closed : set of str
+        The closed data centres; shared with whoever must not use them.
     """
 
     def __init__(
@@ -41,10 +46,11 @@
         *,
         on_endpoint: Callable[[EndpointRecord], None],
         on_gone: Callable[[str], None],
+        closed: set[str] | None = None,
     ) -> None:
         self.configuration: Configuration | None = None
         self.endpoints: dict[str, EndpointRecord] = {}
-        self.closed: set[str] = set()
+        self.closed: set[str] = set() if closed is None else closed
         self._vanished: dict[str, Vanished] = {}
         self._on_endpoint = on_endpoint
         self._on_gone = on_gone
@@ -57,6 +63,11 @@
         self.configuration = configuration
         return True
 
+    def service(self, name: str) -> Service:
+        """Return a service; one that no configuration names has no engine."""
+        held = self.configuration
+        return held.service(name) if held is not None else plain_service(name)
+
     def put_endpoint(self, record: EndpointRecord) -> bool:
         """Take an announcement; tell whether more than its age changed."""
         held = self.endpoints.get(record.identifier)
--- a/src/shallotroad/catalog/configuration.py
+++ b/src/shallotroad/catalog/configuration.py
@@ -94,6 +94,11 @@
     engine: Engine | None
 
 
+def plain_service(name: str) -> Service:
+    """Return a service of which only the name is known."""
+    return Service(name, "/", 100, 0.0, 0.0, None)
+
+
 class Limits(NamedTuple):
     """What callers may send, and how long they may take or stay idle."""
 
@@ -175,7 +180,11 @@
                     name = target.service
                     break
                 point -= target.weight
-        return self.services.get(name) or Service(name, "/", 100, 0.0, 0.0, None)
+        return self.service(name)
+
+    def service(self, name: str) -> Service:
+        """Return a service, also one that routes name and nothing describes."""
+        return self.services.get(name) or plain_service(name)
 
     def team_of(self, key: str) -> Team | None:
         """Return the team that holds an API key."""
--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -1,29 +1,31 @@
-"""Work that waits at the entry, by tier and objective, until an endpoint has room.
+"""Work that waits, by tier and objective, until an endpoint has room.
 
 Prompts wait here and not in an engine's queue: there they would delay the
-first events and the tokens of more urgent requests.
+first events and the tokens of more urgent requests. On the coordinator of a
+service the work of all entries waits in this one queue.
 """
 
 from __future__ import annotations
 
 import asyncio
 from typing import TYPE_CHECKING
-from typing import NamedTuple
 
 from shallotroad.gateway.exceptions import RefusedError
 from shallotroad.policy.placement import Candidate
+from shallotroad.policy.placement import EngineView
 from shallotroad.policy.placement import rank_engines
+from shallotroad.policy.placement import view_engine
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from shallotroad.catalog.catalogue import Catalogue
+    from shallotroad.catalog.configuration import Service
     from shallotroad.gateway.fleet import Fleet
-    from shallotroad.gateway.job import Job
-    from shallotroad.gateway.membership import Membership
-    from shallotroad.platform.headers import PromptPart
     from shallotroad.policy.cold_start import ColdStart
+    from shallotroad.policy.demand import Demand
     from shallotroad.policy.endpoint_load import EndpointLoad
 
 BACKLOG_MS = 350.0  # prompts an engine may have waiting before less urgent work waits
@@ -34,110 +36,187 @@
 )
 EXPRESS_AFTER_SHARE = 0.6  # of the objective; then a patient stream may go anywhere
 LAST_START_SHARE = 0.5  # of the time left; the other half is for the answer
-PUMP_S = 0.05
+PUMP_S = 0.05  # between looks; backlogs and cold starts end by themselves
+SOON_S = 0.004  # one round serves the changes that come together
+MOST_LOOKS = 48  # waiting requests without room in a round; the rest are less urgent
 MOST_WAITING = 2_000
 SHORTEST_RETRY_S = 0.2
 LONGEST_RETRY_S = 3.0
 RETRY_SHARE = 0.3  # of the time left; callers wait at most a third of it
 
 
-class Waiter(NamedTuple):
-    """A job that waits, and where its placement is awaited."""
+class Waiter:
+    """A demand that waits, and what is called with its endpoint."""
 
-    job: Job
-    placed: asyncio.Future[Candidate]
-    since_s: float
+    def __init__(
+        self, *, demand: Demand, placed: Callable[[Candidate], None], since_s: float
+    ) -> None:
+        self.demand = demand
+        self.placed = placed
+        self.since_s = since_s
+
+
+class Round:
+    """The endpoints as of one moment, while several demands are placed."""
+
+    def __init__(self, *, fleet: Fleet, now_s: float) -> None:
+        self._fleet = fleet
+        self.now_s = now_s
+        self._views: dict[str, list[EngineView]] = {}
+        self._express: dict[str, frozenset[str]] = {}
+
+    def _all(self, service: str) -> list[EngineView]:
+        views = self._views.get(service)
+        if views is None:
+            express = self._express[service] = self._fleet.express(service)
+            views = self._views[service] = [
+                view_engine(load, express, self.now_s)
+                for load in self._fleet.of_service(service)
+            ]
+        return views
+
+    def usable(self, demand: Demand) -> list[EngineView]:
+        """Return the endpoints that may take a demand."""
+        allows = self._fleet.filter_for(demand, self.now_s)
+        found = [view for view in self._all(demand.service) if allows(view.load)]
+        sound = [v for v in found if v.load.avoided_until_s <= self.now_s]
+        return sound or found
+
+    def changed(self, load: EndpointLoad) -> None:
+        """Look at one endpoint again: it was given a request."""
+        service = load.record.service
+        self._views[service] = [
+            view_engine(load, self._express[service], self.now_s)
+            if view.load is load
+            else view
+            for view in self._views.get(service, ())
+        ]
 
 
 class Admission:
-    """Places jobs on endpoints, or holds them while none has room."""
+    """Places demands on endpoints, or holds them while none has room."""
 
     def __init__(
         self,
         *,
         fleet: Fleet,
         catalogue: Catalogue,
-        membership: Membership,
         cold_start: ColdStart,
-        placed: Callable[[str, tuple[PromptPart, ...]], None],
+        cold_owners: Callable[[str], Sequence[str]],
         reuse_s: float,
         clock: Callable[[], float],
     ) -> None:
         self._reuse_s = reuse_s
-        self._placed = placed
         self._fleet = fleet
         self._catalogue = catalogue
-        self._membership = membership
         self._cold_start = cold_start
+        self._cold_owners = cold_owners
         self._clock = clock
         self._waiting: list[Waiter] = []
-        fleet.changed = self.pump
+        self._scheduled: asyncio.TimerHandle | None = None
+        fleet.changed = self.pump_soon
 
     @property
     def waiting(self) -> int:
-        """Number of jobs that wait."""
+        """Number of demands that wait."""
         return len(self._waiting)
 
-    async def place(self, job: Job) -> Candidate:
-        """Return an endpoint for a job; its load already counts the job.
+    def submit(
+        self, demand: Demand, placed: Callable[[Candidate], None]
+    ) -> Waiter | None:
+        """Place a demand now, or hold it; return what waits.
+
+        ``placed`` is called with the endpoint, whose load already counts it.
 
         Raises
         ------
         RefusedError
-            When no endpoint had room while there was time to answer.
+            When no endpoint may serve it, or too many wait.
         """
         now_s = self._clock()
-        self.pump()  # what waits and is more urgent goes first
-        candidate = self._try(job)
+        if self._scheduled is not None:
+            self.pump()  # what waits and is more urgent goes first
+        candidate = self._try(demand, Round(fleet=self._fleet, now_s=now_s))
         if candidate is not None:
-            return candidate
-        if not self._fleet.usable(job, self._catalogue):
-            raise RefusedError("no endpoint", retry_after_s=self._retry_after_s(job))
+            placed(candidate)
+            return None
+        if not self._fleet.usable(demand):
+            raise RefusedError("no endpoint", retry_after_s=self.retry_after_s(demand))
         if len(self._waiting) >= MOST_WAITING:
-            raise RefusedError("queue full", retry_after_s=self._retry_after_s(job))
-        return await self._wait(job, now_s)
-
-    async def _wait(self, job: Job, now_s: float) -> Candidate:
-        """Wait until the job is placed, at most for a share of its time."""
-        placed: asyncio.Future[Candidate] = asyncio.get_running_loop().create_future()
-        waiter = Waiter(job, placed, now_s)
+            raise RefusedError("queue full", retry_after_s=self.retry_after_s(demand))
+        waiter = Waiter(demand=demand, placed=placed, since_s=now_s)
         self._waiting.append(waiter)
+        return waiter
+
+    def withdraw(self, waiter: Waiter) -> None:
+        """Forget a demand that waits, if it still does."""
+        if waiter in self._waiting:
+            self._waiting.remove(waiter)
+
+    async def place(self, demand: Demand) -> Candidate:
+        """Return an endpoint for a demand of this entry.
+
+        Raises
+        ------
+        RefusedError
+            When no endpoint had room while there was time to answer.
+        """
+        future: asyncio.Future[Candidate] = asyncio.get_running_loop().create_future()
+        waiter = self.submit(demand, lambda c: _settle(future, c, self._clock))
+        if waiter is None:
+            return future.result()
         try:
-            async with asyncio.timeout(LAST_START_SHARE * (job.end_s - now_s)):
-                return await placed
+            left_s = demand.end_s - self._clock()
+            async with asyncio.timeout(LAST_START_SHARE * left_s):
+                return await future
         except TimeoutError:
-            if placed.done() and not placed.cancelled():
-                return placed.result()  # placed in the moment of the timeout
+            if future.done() and not future.cancelled():
+                return future.result()  # placed in the moment of the timeout
             raise RefusedError(
-                "no room in time", retry_after_s=self._retry_after_s(job)
+                "no room in time", retry_after_s=self.retry_after_s(demand)
             ) from None
         except asyncio.CancelledError:
-            if placed.done() and not placed.cancelled():
-                unused = placed.result()
+            if future.done() and not future.cancelled():
+                unused = future.result()
                 unused.load.end(unused.due_s, started=False, now_s=self._clock())
             raise
         finally:
-            if waiter in self._waiting:
-                self._waiting.remove(waiter)
-            job.waited_ms += (self._clock() - now_s) * 1000
+            self.withdraw(waiter)
 
-    def _retry_after_s(self, job: Job) -> float:
+    def retry_after_s(self, demand: Demand) -> float:
         """Return when a caller may come back with time left to be answered."""
-        left_s = job.deadline_s - self._clock()
+        left_s = demand.deadline_s - self._clock()
         return max(SHORTEST_RETRY_S, min(LONGEST_RETRY_S, RETRY_SHARE * left_s))
 
+    def pump_soon(self) -> None:
+        """Place what waits in a moment, once for all changes until then."""
+        if self._scheduled is None and self._waiting:
+            loop = asyncio.get_running_loop()
+            self._scheduled = loop.call_later(SOON_S, self.pump)
+
     def pump(self) -> None:
         """Place what waits, the most urgent tier first, then by objective."""
+        if self._scheduled is not None:
+            self._scheduled.cancel()
+            self._scheduled = None
         if not self._waiting:
             return
         now_s = self._clock()
-        order = sorted(self._waiting, key=lambda w: w.job.urgency(now_s))
-        for waiter in order:
-            if waiter.placed.done():
-                continue
-            candidate = self._try(waiter.job)
+        moment = Round(fleet=self._fleet, now_s=now_s)
+        left: list[Waiter] = []
+        without_room = 0
+        order = sorted(self._waiting, key=lambda w: w.demand.urgency(now_s))
+        for number, waiter in enumerate(order):
+            candidate = self._try(waiter.demand, moment)
             if candidate is not None:
-                waiter.placed.set_result(candidate)
+                waiter.placed(candidate)
+                continue
+            left.append(waiter)
+            without_room += 1
+            if without_room >= MOST_LOOKS:
+                left += order[number + 1 :]
+                break
+        self._waiting = left
 
     async def pump_regularly(self) -> None:
         """Look again now and then: backlogs and cold starts end by themselves."""
@@ -145,54 +224,72 @@
             await asyncio.sleep(PUMP_S)
             self.pump()
 
-    def _try(self, job: Job) -> Candidate | None:
-        now_s = self._clock()
-        loads = self._fleet.usable(job, self._catalogue)
-        express = self._fleet.express(job.service) if job.streams else frozenset()
-        ranked = rank_engines(job.placing, loads, now_s, express, reuse_s=self._reuse_s)
+    def _try(self, demand: Demand, moment: Round) -> Candidate | None:
+        service = self._catalogue.service(demand.service)
+        views = moment.usable(demand)
+        ranked = rank_engines(
+            demand.placing, views, moment.now_s, reuse_s=self._reuse_s
+        )
         for candidate in ranked:
             load = candidate.load
-            if load.all_running(now_s) >= load.record.slots:
+            if load.running >= load.record.slots:
                 continue
-            if not self._has_room(job, candidate, now_s):
+            if not self._has_room(demand, service, candidate, moment.now_s):
                 # The cost counts the wait: elsewhere would cost still more.
                 return None
-            if self._permitted(job, load, now_s):
-                return self._begin(job, candidate, now_s)
+            if self._permitted(service, load, moment.now_s):
+                placed = self._begin(demand, service, candidate, moment.now_s)
+                moment.changed(load)
+                return placed
         return None
 
-    def _begin(self, job: Job, candidate: Candidate, now_s: float) -> Candidate:
+    def _begin(
+        self, demand: Demand, service: Service, candidate: Candidate, now_s: float
+    ) -> Candidate:
         load = candidate.load
-        tokens = job.expected_tokens if job.urgent else 0
-        due_s = load.begin(candidate.prefill_ms, now_s, urgent_tokens=tokens)
-        if job.service.engine is not None:
-            load.memory_tokens = job.service.engine.memory_tokens
-            load.note_parts(job.placing.parts, now_s)
-            self._placed(load.record.identifier, job.placing.parts)
+        due_s = load.begin(
+            candidate.prefill_ms, now_s, urgent_tokens=demand.urgent_tokens
+        )
+        if service.engine is not None:
+            load.memory_tokens = service.engine.memory_tokens
+            load.note_parts(demand.placing.parts, now_s)
         return candidate._replace(due_s=due_s)
 
-    def _has_room(self, job: Job, candidate: Candidate, now_s: float) -> bool:
-        load = candidate.load
-        if job.service.engine is None:
+    def _has_room(
+        self, demand: Demand, service: Service, candidate: Candidate, now_s: float
+    ) -> bool:
+        if service.engine is None:
             return True
-        waited_ms = (now_s - job.arrival_s) * 1000
-        if job.patient and candidate.express:
+        patient = demand.placing.patient
+        waited_ms = (now_s - demand.arrival_s) * 1000
+        if patient and candidate.express:
             return (
                 candidate.backlog_ms <= 0
-                and waited_ms > EXPRESS_AFTER_SHARE * job.route.objective_ms
+                and waited_ms > EXPRESS_AFTER_SHARE * demand.objective_ms
             )
         debt_limit_ms = DEBT_MS + DEBT_GROWTH * waited_ms
-        if job.patient and load.debt_ms(now_s) > debt_limit_ms:
+        if patient and candidate.load.debt_ms(now_s) > debt_limit_ms:
             return False
-        limit_ms = min(BACKLOG_MS, URGENT_BACKLOG_SHARE * job.route.objective_ms)
+        limit_ms = min(BACKLOG_MS, URGENT_BACKLOG_SHARE * demand.objective_ms)
         return candidate.backlog_ms <= limit_ms
 
-    def _permitted(self, job: Job, load: EndpointLoad, now_s: float) -> bool:
-        if now_s >= load.cold_until_s or job.service.cold_requests_per_s <= 0:
+    def _permitted(self, service: Service, load: EndpointLoad, now_s: float) -> bool:
+        if now_s >= load.cold_until_s or service.cold_requests_per_s <= 0:
             return True
         return self._cold_start.permit(
             load.record.identifier,
-            per_s=job.service.cold_requests_per_s,
-            entries=self._membership.live(now_s),
+            per_s=service.cold_requests_per_s,
+            entries=self._cold_owners(service.name),
             now_s=now_s,
         )
+
+
+def _settle(
+    future: asyncio.Future[Candidate],
+    candidate: Candidate,
+    clock: Callable[[], float],
+) -> None:
+    if future.done():
+        candidate.load.end(candidate.due_s, started=False, now_s=clock())
+    else:
+        future.set_result(candidate)
--- /dev/null
+++ b/src/shallotroad/gateway/coordination/messages.py
@@ -0,0 +1,196 @@
+"""Datagrams between an entry and a coordinator, as JSON arrays.
+
+Any of them may be lost or come twice: questions are asked again until they
+are answered, and the report of open work heals what else was missed. Times
+travel as milliseconds from the sending, since clocks differ.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+import orjson
+
+from shallotroad.gateway.coordination.exceptions import MalformedMessageError
+from shallotroad.platform.headers import PromptPart
+from shallotroad.policy.demand import Demand
+from shallotroad.policy.placement import Placing
+
+
+if TYPE_CHECKING:
+    from typing import Any
+
+MS_PER_S = 1000.0
+
+
+class Sender(NamedTuple):
+    """The process that sent a message."""
+
+    name: str
+    incarnation: int
+
+
+class Ask(NamedTuple):
+    """An entry asks for an endpoint."""
+
+    sender: Sender
+    number: int
+    demand: Demand
+
+
+class Grant(NamedTuple):
+    """A coordinator names the endpoint for a question, and what decided."""
+
+    number: int
+    endpoint: str
+    cost_ms: float
+    backlog_ms: float
+    prefill_ms: float
+    cached_tokens: int
+    express: bool
+
+
+class Hold(NamedTuple):
+    """A coordinator has the question and no room yet."""
+
+    number: int
+
+
+class Decline(NamedTuple):
+    """A coordinator does not place the question."""
+
+    number: int
+    reason: str
+
+
+class Started(NamedTuple):
+    """A granted request has begun to answer, so long after it was sent."""
+
+    sender: Sender
+    number: int
+    first_event_ms: float
+
+
+class Ended(NamedTuple):
+    """A request has ended, or is not asked for any more.
+
+    ``success`` tells of a whole answer; ``failure`` is the weight of the
+    endpoint's own failure.
+    """
+
+    sender: Sender
+    number: int
+    success: bool
+    failure: float
+
+
+class OpenWork(NamedTuple):
+    """One request of an entry at an engine."""
+
+    number: int
+    endpoint: str
+    prefill_ms: float
+    urgent_tokens: int
+    started: bool
+
+
+class Report(NamedTuple):
+    """All open work of an entry, and the numbers of its open questions."""
+
+    sender: Sender
+    work: tuple[OpenWork, ...]
+    asking: tuple[int, ...]
+
+
+Message = Ask | Grant | Hold | Decline | Started | Ended | Report
+
+
+def _demand_to_row(demand: Demand, now_s: float) -> list[Any]:
+    placing = demand.placing
+    times = (demand.arrival_s, demand.objective_s, demand.end_s, demand.deadline_s)
+    return [
+        demand.service,
+        placing.data_centre,
+        [[part.identifier, part.tokens] for part in placing.parts],
+        placing.prompt_tokens,
+        placing.body_bytes,
+        placing.patient,
+        placing.heavy,
+        demand.tier,
+        demand.route_tier,
+        [round((time_s - now_s) * MS_PER_S, 1) for time_s in times],
+        demand.streams,
+        demand.urgent_tokens,
+        sorted(demand.excluded),
+        sorted(demand.regions),
+    ]
+
+
+def _row_to_demand(row: list[Any], now_s: float) -> Demand:
+    service, centre, parts, tokens, size, patient, heavy, tier, route_tier = row[:9]
+    offsets, streams, urgent_tokens, excluded, regions = row[9:]
+    arrival_s, objective_s, end_s, deadline_s = (now_s + o / MS_PER_S for o in offsets)
+    shares = tuple(PromptPart(str(name), int(size)) for name, size in parts)
+    return Demand(
+        service=service,
+        placing=Placing(centre, shares, tokens, size, patient, heavy),
+        tier=tier,
+        route_tier=route_tier,
+        arrival_s=arrival_s,
+        objective_s=objective_s,
+        end_s=end_s,
+        deadline_s=deadline_s,
+        streams=streams,
+        urgent_tokens=urgent_tokens,
+        excluded=frozenset(excluded),
+        regions=frozenset(regions),
+    )
+
+
+def encode(message: Message, now_s: float) -> bytes:
+    """Return a datagram; ``now_s`` is the time of the sending."""
+    if isinstance(message, Ask):
+        row = [message.number, _demand_to_row(message.demand, now_s)]
+        return orjson.dumps(["ask", list(message.sender), *row])
+    if isinstance(message, Report):
+        work = [list(w) for w in message.work]
+        return orjson.dumps(["work", list(message.sender), work, message.asking])
+    if isinstance(message, Started):
+        row = [message.number, round(message.first_event_ms)]
+        return orjson.dumps(["start", list(message.sender), *row])
+    if isinstance(message, Ended):
+        row = [message.number, message.success, message.failure]
+        return orjson.dumps(["end", list(message.sender), *row])
+    kind = {Grant: "grant", Hold: "hold", Decline: "decline"}[type(message)]
+    return orjson.dumps([kind, *message])
+
+
+def decode(data: bytes, now_s: float) -> Message:
+    """Decode a datagram that was received at ``now_s``.
+
+    Raises
+    ------
+    MalformedMessageError
+        When it is no message of this protocol.
+    """
+    try:
+        kind, *row = orjson.loads(data)
+        if kind == "grant":
+            return Grant(*row)
+        if kind == "hold":
+            return Hold(*row)
+        if kind == "decline":
+            return Decline(*row)
+        sender = Sender(*row[0])
+        if kind == "ask":
+            return Ask(sender, row[1], _row_to_demand(row[2], now_s))
+        if kind == "start":
+            return Started(sender, *row[1:])
+        if kind == "end":
+            return Ended(sender, *row[1:])
+        if kind == "work":
+            return Report(sender, tuple(OpenWork(*w) for w in row[1]), tuple(row[2]))
+    except (IndexError, TypeError, ValueError) as error:
+        raise MalformedMessageError(repr(error)) from error
+    raise MalformedMessageError(f"kind {kind!r} is not known")
--- a/src/shallotroad/gateway/exports.py
+++ b/src/shallotroad/gateway/exports.py
@@ -49,7 +49,7 @@
                 "data_centre": load.record.data_centre,
                 "draining": load.record.draining,
                 "running": load.running,
-                "running_everywhere": load.all_running(now_s),
+                "running_everywhere": load.running,
                 "backlog_ms": round(load.backlog_ms(now_s)),
                 "debt_ms": round(load.debt_ms(now_s)),
                 "slowness": round(load.slowness, 2),
--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -13,13 +13,15 @@
 
 from shallotroad.catalog.catalogue import Catalogue
 from shallotroad.gateway.admission import Admission
+from shallotroad.gateway.coordination.coordinator import Coordinator
+from shallotroad.gateway.coordination.line import Line
+from shallotroad.gateway.coordination.line import open_line
+from shallotroad.gateway.coordination.placer import Placer
 from shallotroad.gateway.door import Door
 from shallotroad.gateway.events import EventCutter
 from shallotroad.gateway.exports import make_status_handler
 from shallotroad.gateway.fleet import Fleet
 from shallotroad.gateway.forwarder import Forwarder
-from shallotroad.gateway.load_reports import LoadReports
-from shallotroad.gateway.load_reports import open_load_reports
 from shallotroad.gateway.membership import Membership
 from shallotroad.gateway.metrics import GatewayMetrics
 from shallotroad.gateway.news import News
@@ -56,7 +58,9 @@
     membership: Membership
     news: News
     peers: Peers
-    reports: LoadReports
+    line: Line
+    coordinator: Coordinator
+    placer: Placer
     admission: Admission
     forwarder: Forwarder
     door: Door
@@ -67,38 +71,48 @@
 def build(settings: MachineSettings) -> Parts:
     """Build the parts of a gateway."""
     clock = time.monotonic
-    fleet = Fleet(clock=clock, regions=settings.regions)
-    catalogue = Catalogue(on_endpoint=fleet.put, on_gone=fleet.drop)
+    closed: set[str] = set()
+    fleet = Fleet(clock=clock, regions=settings.regions, closed=closed)
+    catalogue = Catalogue(on_endpoint=fleet.put, on_gone=fleet.drop, closed=closed)
     store = StoreClient(address=settings.store)
     membership = Membership(
         name=settings.name,
         address=str(settings.peers or ""),
         incarnation=time.time_ns() // 1_000_000,
         seeds=tuple(str(seed) for seed in settings.seeds),
+        cores=settings.cores,
+        datagram_port=settings.internal_ports[0],
         started_s=clock(),
     )
     news = News(store=store, catalogue=catalogue, clock=clock)
     rng = random.Random()
-    reports = LoadReports(
-        port=settings.internal_ports[0],
-        fleet=fleet,
-        membership=membership,
-        clock=clock,
-        rng=rng,
-    )
+    line = Line(membership=membership, clock=clock)
     admission = Admission(
         fleet=fleet,
         catalogue=catalogue,
-        membership=membership,
         cold_start=ColdStart(entry=settings.name),
-        placed=reports.placed,
+        cold_owners=lambda service: placer.cold_owners(service),
         reuse_s=settings.bounds.reuse_s,
         clock=clock,
     )
+    placer = Placer(
+        admission=admission,
+        fleet=fleet,
+        membership=membership,
+        send=line.send,
+        clock=clock,
+    )
+    coordinator = Coordinator(
+        admission=admission,
+        fleet=fleet,
+        clock=clock,
+        leaving=lambda: door.closing,
+    )
+    line.serve(coordinator=coordinator, placer=placer)
     metrics = GatewayMetrics()
     forwarder = Forwarder(
         fleet=fleet,
-        admission=admission,
+        placer=placer,
         membership=membership,
         bounds=settings.bounds,
         metrics=metrics,
@@ -121,7 +135,9 @@
         membership,
         news,
         peers,
-        reports,
+        line,
+        coordinator,
+        placer,
         admission,
         forwarder,
         door,
@@ -169,9 +185,7 @@
     if settings.metrics is not None:
         servers.append(await _listen(status, settings.metrics))
     if settings.internal_ports[0]:
-        await open_load_reports(
-            parts.reports, settings.host, settings.internal_ports[0]
-        )
+        await open_line(parts.line, settings.host, settings.internal_ports[0])
     background = [
         asyncio.create_task(_keep_running(job))
         for job in (
@@ -179,7 +193,8 @@
             parts.news.expire,
             parts.admission.pump_regularly,
             parts.peers.exchange_regularly,
-            parts.reports.send_regularly,
+            parts.placer.report_regularly,
+            parts.coordinator.expire_regularly,
             reloader.watch,
             write_lines,
         )
--- a/src/shallotroad/gateway/fleet.py
+++ b/src/shallotroad/gateway/fleet.py
@@ -13,17 +13,28 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from shallotroad.catalog.catalogue import Catalogue
-    from shallotroad.catalog.configuration import Service
     from shallotroad.catalog.endpoint import EndpointRecord
-    from shallotroad.gateway.job import Job
+    from shallotroad.policy.demand import Demand
 
 
 class Fleet:
-    """Loads and connection pools by endpoint."""
-
-    def __init__(self, *, clock: Callable[[], float], regions: dict[str, str]) -> None:
+    """Loads and connection pools by endpoint.
+
+    Parameters
+    ----------
+    closed : set of str
+        The closed data centres, kept up to date by the catalogue.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Callable[[], float],
+        regions: dict[str, str],
+        closed: set[str],
+    ) -> None:
         self._clock = clock
+        self._closed = closed
         self._regions = regions
         self.loads: dict[str, EndpointLoad] = {}
         self._pools: dict[str, ConnectionPool] = {}
@@ -74,37 +85,62 @@
         """Return the connections to an endpoint."""
         return self._pools.get(identifier)
 
-    def usable(self, job: Job, catalogue: Catalogue) -> list[EndpointLoad]:
-        """Return the endpoints that may take a request now."""
-        now_s = self._clock()
-        allowed = job.route.regions
-        if job.team is not None and job.team.regions:
-            allowed = allowed & job.team.regions if allowed else job.team.regions
-        found = [
+    def of_service(self, service: str) -> list[EndpointLoad]:
+        """Return the endpoints of a service that take new requests at all."""
+        return [
             load
             for load in self.loads.values()
-            if load.record.service == job.service.name
-            and not load.record.draining
-            and load.record.data_centre not in catalogue.closed
-            and load.record.identifier not in job.excluded
-            and (not allowed or self._regions.get(load.record.data_centre) in allowed)
+            if load.record.service == service and not load.record.draining
         ]
+
+    def filter_for(
+        self, demand: Demand, now_s: float
+    ) -> Callable[[EndpointLoad], bool]:
+        """Return what tells whether an endpoint may take a demand."""
+        closed = self._closed
+        excluded, regions = demand.excluded, demand.regions
+
+        def allows(load: EndpointLoad) -> bool:
+            record = load.record
+            return (
+                record.identifier not in excluded
+                and record.data_centre not in closed
+                and (not regions or self._regions.get(record.data_centre) in regions)
+            )
+
+        return allows
+
+    def usable(self, demand: Demand) -> list[EndpointLoad]:
+        """Return the endpoints that may take a demand now."""
+        now_s = self._clock()
+        allows = self.filter_for(demand, now_s)
+        found = [load for load in self.of_service(demand.service) if allows(load)]
         sound = [load for load in found if load.avoided_until_s <= now_s]
         return sound or found
 
-    def express(self, service: Service) -> frozenset[str]:
+    def unusable(self, service: str) -> frozenset[str]:
+        """Return the endpoints of a service that this entry must not use now."""
+        now_s = self._clock()
+        closed = self._closed
+        return frozenset(
+            name
+            for name, load in self.loads.items()
+            if load.record.service == service
+            and (
+                load.record.draining
+                or load.record.data_centre in closed
+                or load.avoided_until_s > now_s
+            )
+        )
+
+    def express(self, service: str) -> frozenset[str]:
         """Return the engines kept for streams that bear only short pauses."""
         now_s = self._clock()
-        loads = [
-            load
-            for load in self.loads.values()
-            if load.record.service == service.name and not load.record.draining
-        ]
-        names = [load.record.identifier for load in loads]
+        loads = self.of_service(service)
         works = [load.recent_work_ms(now_s) for load in loads]
         return express_engines(
-            service.name,
-            names,
+            service,
+            [load.record.identifier for load in loads],
             urgent_ms=sum(urgent for urgent, _ in works),
             patient_ms=sum(patient for _, patient in works),
         )
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -28,7 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from shallotroad.gateway.admission import Admission
+    from shallotroad.gateway.coordination.placer import Placer
     from shallotroad.gateway.events import EventCutter
     from shallotroad.gateway.fleet import Fleet
     from shallotroad.gateway.job import Job
@@ -36,7 +36,6 @@
     from shallotroad.gateway.metrics import GatewayMetrics
     from shallotroad.platform.headers import AnswerHead
     from shallotroad.platform.settings import Bounds
-    from shallotroad.policy.endpoint_load import EndpointLoad
     from shallotroad.policy.placement import Candidate
     from shallotroad.upstream.connection import EndpointConnection
 
@@ -51,6 +50,7 @@
 ROUTE_TIERS = 3  # engine priorities for each tier of teams
 SILENT_SHARE = 0.45  # of the time left; then a repeatable request goes elsewhere
 SHORTEST_SILENCE_S = 0.15
+NOT_RUN_WEIGHT = 0.5  # of a failure; a full endpoint is not a broken one
 
 
 class Answer(NamedTuple):
@@ -96,7 +96,7 @@
         self,
         *,
         fleet: Fleet,
-        admission: Admission,
+        placer: Placer,
         membership: Membership,
         bounds: Bounds,
         metrics: GatewayMetrics,
@@ -104,7 +104,7 @@
         make_cutter: Callable[[], EventCutter],
     ) -> None:
         self._fleet = fleet
-        self._admission = admission
+        self._placer = placer
         self._membership = membership
         self.bounds = bounds
         self._metrics = metrics
@@ -155,7 +155,7 @@
     async def _place(self, job: Job, cutter: EventCutter | None) -> Candidate:
         """Place a job; a refusal is told as such only if nothing has run."""
         try:
-            return await self._admission.place(job)
+            return await self._placer.place(job)
         except RefusedError:
             if cutter is not None and cutter.begun:
                 raise BrokenStreamError("no endpoint to resume at") from None
@@ -239,9 +239,8 @@
         job.attempts.append(identifier)
         job.choices.append(candidate.inputs())
         pool = self._fleet.pool(identifier)
-        progress = Progress(load=load, due_s=candidate.due_s)
+        progress = Progress(candidate=candidate, placer=self._placer, clock=self._clock)
         connection: EndpointConnection | None = None
-        sent_s = self._clock()
         try:
             if pool is None:
                 raise NotRunError("the endpoint is gone", sent=False)
@@ -255,28 +254,28 @@
                 )
             except ConnectError as error:
                 raise NotRunError(str(error), sent=False) from error
-            sent_s = self._clock()
+            progress.sent_s = self._clock()
             async with asyncio.timeout(self._patience_s(job, candidate)) as patience:
                 answer = await self._receive(
                     job, connection, caller, cutter, progress, patience
                 )
             if answer is not None and answer.head.status >= SERVER_FAILURE:
-                load.fail(self._clock())
+                progress.failure = 1.0
             else:
-                load.succeed(self._clock())
+                progress.success = True
             self._metrics.attempts.inc({"end": "answered"})
             pool.release(connection)
             connection = None
             return answer
         except (ConnectionLostError, GarbledAnswerError) as error:
-            load.fail(self._clock())
+            progress.failure = 1.0
             raise UnknownError(str(error)) from error
         except TimeoutError:
             if not progress.started_s:
-                load.fail(self._clock())
+                progress.failure = 1.0
             raise UnknownError("no answer in time") from None
         except NotRunError:
-            load.fail(self._clock(), 0.5)
+            progress.failure = NOT_RUN_WEIGHT
             raise
         finally:
             if connection is not None:
@@ -285,20 +284,8 @@
                     pool.release(connection)
                 else:
                     connection.close()
-            now_s = self._clock()
-            if progress.started_s:
-                expected_ms = candidate.backlog_ms + candidate.prefill_ms
-                if job.service.engine is not None and len(job.attempts) == 1:
-                    load.learn_pace(
-                        expected_ms,
-                        (progress.started_s - sent_s) * 1000 - FIRST_EVENT_MS,
-                    )
-            load.end(
-                candidate.due_s,
-                started=bool(progress.started_s),
-                now_s=now_s,
-            )
-            self._admission.pump()
+            first = len(job.attempts) == 1
+            progress.finish(learn=first and job.service.engine is not None)
 
     def _patience_s(self, job: Job, candidate: Candidate) -> float:
         left_s = job.end_s + FINAL_SLACK_S - self._clock()
@@ -348,7 +335,7 @@
             progress.ended = True
             if head.length is not None and head.length != len(body):
                 raise ConnectionLostError("the body ends early")
-            progress.start(self._clock())
+            progress.start()
             answer = Answer(head, body)
             if cutter is not None and cutter.begun:
                 raise UnknownError(f"status {head.status} instead of the rest")
@@ -390,8 +377,7 @@
             if not events:
                 continue
             if not progress.started_s:
-                progress.start(self._clock())
-                self._admission.pump()
+                progress.start()
                 left_s = job.end_s + FINAL_SLACK_S - self._clock()
                 patience.reschedule(asyncio.get_running_loop().time() + left_s)
                 if not cutter.begun:
@@ -410,16 +396,41 @@
 
 
 class Progress:
-    """How far an attempt came."""
+    """How far an attempt came; tells the endpoint's account of it."""
 
-    def __init__(self, *, load: EndpointLoad, due_s: float) -> None:
-        self._load = load
-        self._due_s = due_s
+    def __init__(
+        self, *, candidate: Candidate, placer: Placer, clock: Callable[[], float]
+    ) -> None:
+        self._candidate = candidate
+        self._placer = placer
+        self._clock = clock
+        self.sent_s = clock()
         self.started_s = 0.0
         self.ended = False
+        self.success = False
+        self.failure = 0.0
 
-    def start(self, now_s: float) -> None:
+    @property
+    def _first_event_ms(self) -> float:
+        return (self.started_s - self.sent_s) * 1000
+
+    def start(self) -> None:
         """Note that the endpoint has begun to answer."""
         if not self.started_s:
-            self.started_s = now_s
-            self._load.start(self._due_s, now_s)
+            self.started_s = self._clock()
+            self._candidate.load.start(self._candidate.due_s, self.started_s)
+            self._placer.started(self._candidate, self._first_event_ms)
+
+    def finish(self, *, learn: bool) -> None:
+        """Note the end; ``learn`` takes the pace of an engine from it."""
+        candidate, load = self._candidate, self._candidate.load
+        now_s = self._clock()
+        if self.success:
+            load.succeed(now_s)
+        elif self.failure:
+            load.fail(now_s, self.failure)
+        if self.started_s and learn:
+            expected_ms = candidate.backlog_ms + candidate.prefill_ms
+            load.learn_pace(expected_ms, self._first_event_ms - FIRST_EVENT_MS)
+        load.end(candidate.due_s, started=bool(self.started_s), now_s=now_s)
+        self._placer.ended(candidate, success=self.success, failure=self.failure)
--- a/src/shallotroad/gateway/job.py
+++ b/src/shallotroad/gateway/job.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from shallotroad.catalog.configuration import CallKind
+from shallotroad.policy.demand import Demand
 from shallotroad.policy.placement import Placing
 from shallotroad.policy.placement import pausing_tokens
 
@@ -70,13 +71,31 @@
         limit = pausing_tokens(shortest_pause_ms, engine.tokens_per_event)
         return self.request.prompt_tokens > limit
 
-    def urgency(self, now_s: float) -> tuple[int, int, bool, float]:
-        """Order among waiting jobs: the team's tier, the route's, the objective.
+    def demand(self, avoided: frozenset[str] = frozenset()) -> Demand:
+        """Return what its placement depends on.
 
-        A job past its objective is worth less than one that can still make it.
+        Parameters
+        ----------
+        avoided : frozenset of str
+            Endpoints that this entry can't use, besides those that failed.
         """
-        late = now_s > self.objective_s
-        return (self.tier, self.route.tier, late, self.objective_s)
+        regions = self.route.regions
+        if self.team is not None and self.team.regions:
+            regions = regions & self.team.regions if regions else self.team.regions
+        return Demand(
+            service=self.service.name,
+            placing=self.placing,
+            tier=self.tier,
+            route_tier=self.route.tier,
+            arrival_s=self.arrival_s,
+            objective_s=self.objective_s,
+            end_s=self.end_s,
+            deadline_s=self.deadline_s,
+            streams=self.streams,
+            urgent_tokens=self.expected_tokens if self.urgent else 0,
+            excluded=frozenset(self.excluded) | avoided,
+            regions=regions,
+        )
 
     @property
     def urgent(self) -> bool:
--- a/src/shallotroad/gateway/membership.py
+++ b/src/shallotroad/gateway/membership.py
@@ -2,12 +2,14 @@
 
 Each entry counts its own heartbeats; peers pass the highest count that they
 know. An entry whose count stands still is taken as dead. The same exchange
-carries each entry's load at endpoints and what it knows of the store.
+carries the revision of the store that each entry knows.
 """
 
 from __future__ import annotations
 
+import hashlib
 import math
+from functools import lru_cache
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -20,6 +22,8 @@
 FORGET_S = 30.0
 SETTLED_S = 5.0  # gossip has reached every entry by then
 UNSETTLED_ENTRIES = 10
+SEASONED_BEATS = 5  # about three seconds; a newcomer knows too little to coordinate
+CORES_STEP = 0.5  # processors that differ by less count as equal
 
 
 class Member(NamedTuple):
@@ -39,6 +43,10 @@
         When the count last grew, monotonic.
     left : bool
         Whether it said that it leaves.
+    cores : float
+        Processor that its machine has for it.
+    datagram_port : int
+        Where it takes datagrams, at the host of its address.
     """
 
     name: str
@@ -47,6 +55,13 @@
     beats: int
     heard_s: float
     left: bool
+    cores: float
+    datagram_port: int
+
+
+@lru_cache(maxsize=8_192)
+def _draw(subject: str, name: str) -> bytes:
+    return hashlib.blake2b(f"{subject} {name}".encode(), digest_size=8).digest()
 
 
 class Membership:
@@ -59,9 +74,13 @@
         address: str,
         incarnation: int,
         seeds: tuple[str, ...],
+        cores: float = 1.0,
+        datagram_port: int = 0,
         started_s: float = -math.inf,
     ) -> None:
         self.name = name
+        self._cores = cores
+        self._datagram_port = datagram_port
         self._started_s = started_s
         self.address = address
         self._incarnation = incarnation
@@ -91,13 +110,46 @@
         ]
         return sorted([*names, self.name])
 
-    def hosts(self, now_s: float) -> list[str]:
-        """Return the IP addresses of the other live entries."""
-        return [
-            m.address.partition(":")[0]
+    def datagram_address(self, name: str) -> tuple[str, int] | None:
+        """Return where a member takes datagrams; None when it is not known."""
+        member = self._members.get(name)
+        if member is None or not member.datagram_port:
+            return None
+        return member.address.partition(":")[0], member.datagram_port
+
+    def known(self) -> list[str]:
+        """Return the names of all members heard of lately, itself included."""
+        return sorted([*self._members, self.name])
+
+    @property
+    def incarnation(self) -> int:
+        """Unix time in milliseconds of this process's start."""
+        return self._incarnation
+
+    def settled(self, now_s: float) -> bool:
+        """Return whether gossip has had time to tell of every entry."""
+        return now_s - self._started_s >= SETTLED_S
+
+    def majority(self, now_s: float) -> bool:
+        """Return whether most of the members heard of lately are live."""
+        return 2 * len(self.live(now_s)) > len(self._members)
+
+    def coordinators(self, subject: str, now_s: float) -> list[str]:
+        """Return who may coordinate a subject, the first choice first.
+
+        Members that have run for a while go before newcomers, those with
+        more processor before others; equals are drawn by rendezvous hashing.
+        """
+        rows = [
+            (m.beats >= SEASONED_BEATS, round(m.cores / CORES_STEP), m.name)
             for m in self._members.values()
             if not m.left and now_s - m.heard_s < DEAD_S
         ]
+        if not self._left:
+            seasoned = self._beats >= SEASONED_BEATS
+            rows.append((seasoned, round(self._cores / CORES_STEP), self.name))
+        rows.sort(key=lambda row: (row[0], row[1], _draw(subject, row[2])))
+        return [name for _, _, name in reversed(rows)]
 
     def count(self, now_s: float) -> int:
         """Return by how many entries a bound on their sum is divided.
@@ -106,15 +158,31 @@
         stand in for the others.
         """
         live = len(self.live(now_s))
-        if now_s - self._started_s < SETTLED_S:
+        if not self.settled(now_s):
             return max(live, UNSETTLED_ENTRIES)
         return max(live, min(len(self._seeds), 3))
 
     def table(self) -> list[list[Any]]:
         """Return what this entry tells of the members."""
-        own = [self.name, self.address, self._incarnation, self._beats, self._left]
+        own = [
+            self.name,
+            self.address,
+            self._incarnation,
+            self._beats,
+            self._left,
+            self._cores,
+            self._datagram_port,
+        ]
         rest = [
-            [m.name, m.address, m.incarnation, m.beats, m.left]
+            [
+                m.name,
+                m.address,
+                m.incarnation,
+                m.beats,
+                m.left,
+                m.cores,
+                m.datagram_port,
+            ]
             for m in self._members.values()
         ]
         return [own, *rest]
@@ -122,7 +190,7 @@
     def merge(self, rows: list[list[Any]], now_s: float) -> list[str]:
         """Take what a peer tells; return the names that are new."""
         news = []
-        for name, address, incarnation, beats, left in rows:
+        for name, address, incarnation, beats, left, cores, port in rows:
             if name == self.name:
                 continue
             held = self._members.get(name)
@@ -133,7 +201,9 @@
                 continue
             if held is None or held.incarnation != incarnation:
                 news.append(name)
-            self._members[name] = Member(name, address, incarnation, beats, now_s, left)
+            self._members[name] = Member(
+                name, address, incarnation, beats, now_s, left, float(cores), int(port)
+            )
         return news
 
     def forget(self, now_s: float) -> list[str]:
--- a/src/shallotroad/policy/endpoint_load.py
+++ b/src/shallotroad/policy/endpoint_load.py
@@ -1,4 +1,8 @@
-"""What an entry knows of one endpoint's load, pace and failures."""
+"""What a gateway knows of one endpoint's load, pace and failures.
+
+The coordinator of a service counts the work of all entries here, any other
+gateway its own.
+"""
 
 from __future__ import annotations
 
@@ -24,39 +28,9 @@
 FAILURE_HALF_LIFE_S = 3.0
 WORK_HALF_LIFE_S = 4.0  # of the recent work that splits the engines
 URGENT_TOKEN_MS = 0.4  # of an engine's time for a token beside thirty others
-PEER_LOAD_TTL_S = 1.5
 MOST_PARTS = 4096
 
 
-class LoadReport(NamedTuple):
-    """An entry's work at an endpoint, as it tells its peers.
-
-    Parameters
-    ----------
-    running : int
-        Requests that it has there.
-    urgent_ms : float
-        Engine time of all streams ever sent there that bear only short
-        pauses; only grows.
-    backlog_ms : float
-        Time to read its prompts that wait there.
-    placed_ms : float
-        Time to read all other prompts ever sent there; only grows.
-    """
-
-    running: int
-    urgent_ms: float
-    backlog_ms: float
-    placed_ms: float
-
-
-class PeerLoad(NamedTuple):
-    """A peer's report and when it came."""
-
-    load: LoadReport
-    reported_s: float
-
-
 class CachedPart(NamedTuple):
     """A prompt part that an engine has probably cached."""
 
@@ -74,12 +48,10 @@
         self.seen_s = now_s
         self.cold_until_s = 0.0
         self.slowness = 1.0
-        self._urgent_ms = 0.0
         self._urgent_work_ms = 0.0
         self._patient_work_ms = 0.0
         self._worked_s = now_s
         self._idle_at_s = now_s
-        self._placed_ms = 0.0
         self._due_s: list[float] = []
         self._debt_ms = 0.0
         self._debt_at_s = now_s
@@ -89,7 +61,6 @@
         self._judged_s = now_s
         self._parts: OrderedDict[str, CachedPart] = OrderedDict()
         self.memory_tokens = 0
-        self._peers: dict[str, PeerLoad] = {}
         self.avoided_until_s = 0.0
 
     # Work
@@ -119,10 +90,8 @@
         self.unstarted += 1
         if urgent_tokens:
             work_ms = prefill_ms + URGENT_TOKEN_MS * urgent_tokens
-            self._urgent_ms += work_ms
             self._note_work(now_s, urgent_ms=work_ms, patient_ms=0.0)
         else:
-            self._placed_ms += prefill_ms
             self._note_work(now_s, urgent_ms=0.0, patient_ms=prefill_ms)
         self._debt_ms = self.debt_ms(now_s) + prefill_ms
         self._idle_at_s = max(now_s, self._idle_at_s) + prefill_ms / 1000.0
@@ -143,8 +112,8 @@
         if not started:
             self.start(due_s, now_s)
 
-    def own_backlog_ms(self, now_s: float) -> float:
-        """Return the time to read this entry's prompts that wait there."""
+    def backlog_ms(self, now_s: float) -> float:
+        """Return the time to read the known prompts that wait there."""
         if self.unstarted == 0:
             return 0.0
         overdue_s = max(0.0, now_s - min(self._due_s))
@@ -161,42 +130,6 @@
         self._debt_at_s = now_s
         return self._debt_ms
 
-    # Peers
-
-    def own_report(self, now_s: float) -> LoadReport:
-        """Return what peers need to know."""
-        backlog_ms = round(self.own_backlog_ms(now_s))
-        return LoadReport(
-            self.running, round(self._urgent_ms), backlog_ms, round(self._placed_ms)
-        )
-
-    def report(self, peer: str, load: LoadReport, now_s: float) -> None:
-        """Take a peer's report of its own work here."""
-        held = self._peers.get(peer)
-        if held is not None:
-            placed_ms = max(0.0, load.placed_ms - held.load.placed_ms)
-            urgent_ms = max(0.0, load.urgent_ms - held.load.urgent_ms)
-            self._debt_ms = self.debt_ms(now_s) + placed_ms
-            self._note_work(now_s, urgent_ms=urgent_ms, patient_ms=placed_ms)
-        self._peers[peer] = PeerLoad(load, now_s)
-
-    def _fresh(self, now_s: float) -> list[PeerLoad]:
-        return [
-            r for r in self._peers.values() if now_s - r.reported_s <= PEER_LOAD_TTL_S
-        ]
-
-    def backlog_ms(self, now_s: float) -> float:
-        """Return the time to read all known prompts that wait there."""
-        theirs = sum(
-            max(0.0, r.load.backlog_ms - (now_s - r.reported_s) * 1000.0)
-            for r in self._fresh(now_s)
-        )
-        return self.own_backlog_ms(now_s) + theirs
-
-    def all_running(self, now_s: float) -> int:
-        """Return the requests of all entries that are known to run there."""
-        return self.running + sum(r.load.running for r in self._fresh(now_s))
-
     def _note_work(self, now_s: float, *, urgent_ms: float, patient_ms: float) -> None:
         factor = math.exp2(-(now_s - self._worked_s) / WORK_HALF_LIFE_S)
         self._worked_s = now_s
--- a/src/shallotroad/policy/placement.py
+++ b/src/shallotroad/policy/placement.py
@@ -17,6 +17,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Sequence
 
     from shallotroad.platform.headers import PromptPart
@@ -51,7 +52,8 @@
 class Candidate(NamedTuple):
     """An engine with its cost and the expected time to read the prompt.
 
-    ``due_s`` is when the first event is expected, once the engine is chosen.
+    ``due_s`` is when the first event is expected, once the engine is chosen;
+    ``number`` names the request among the entry's open work.
     """
 
     load: EndpointLoad
@@ -61,6 +63,7 @@
     cached_tokens: int = 0
     express: bool = False
     due_s: float = 0.0
+    number: int = 0
 
     def inputs(self) -> dict[str, object]:
         """Return what decided for this engine, for the logs."""
@@ -76,6 +79,33 @@
         }
 
 
+class EngineView(NamedTuple):
+    """An engine as of one round of placements.
+
+    Parameters
+    ----------
+    load : EndpointLoad
+        The engine.
+    backlog_ms : float
+        Time to read the prompts that wait there.
+    patient_wait_ms : float
+        The same for patient streams, which also wait for the engine's debt.
+    shared_ms : float
+        Crowding and failures, which cost every request the same.
+    running : int
+        Requests that are known to run there.
+    express : bool
+        Whether it is kept for streams that bear only short pauses.
+    """
+
+    load: EndpointLoad
+    backlog_ms: float
+    patient_wait_ms: float
+    shared_ms: float
+    running: int
+    express: bool
+
+
 @lru_cache(maxsize=65_536)
 def _weight(part: str, endpoint: str) -> int:
     digest = hashlib.blake2b(f"{part} {endpoint}".encode(), digest_size=8).digest()
@@ -116,81 +146,90 @@
     return frozenset(ranked[:count])
 
 
+def view_engine(
+    load: EndpointLoad, express: frozenset[str], now_s: float
+) -> EngineView:
+    """Return what a round of placements needs to know of an engine."""
+    backlog_ms = load.backlog_ms(now_s)
+    failures_ms = FAILURE_MS * load.failure_share(now_s) ** 2
+    return EngineView(
+        load=load,
+        backlog_ms=backlog_ms,
+        patient_wait_ms=max(backlog_ms, load.debt_ms(now_s) / READING_SHARE),
+        shared_ms=CROWDING_MS * load.running + failures_ms,
+        running=load.running,
+        express=load.record.identifier in express,
+    )
+
+
 def _warm_tokens(
-    shared: Sequence[PromptPart], loads: Sequence[EndpointLoad], since_s: float
+    shared: Sequence[PromptPart], views: Iterable[EngineView], since_s: float
 ) -> int:
     """Return the tokens of shared parts that some engine used recently."""
     return sum(
         part.tokens
         for part in shared
-        if any(load.used_since(part.identifier, since_s) for load in loads)
+        if any(view.load.used_since(part.identifier, since_s) for view in views)
     )
 
 
-def _home(
-    placing: Placing, loads: Sequence[EndpointLoad], express: frozenset[str]
-) -> str:
+def _home(placing: Placing, views: Sequence[EngineView]) -> str:
     """Return the home of a prompt that no engine is known to have cached."""
     shared = placing.parts[:-1]
-    if not shared or any(load.cached_tokens(shared[:1]) for load in loads):
+    if not shared or any(view.load.cached_tokens(shared[:1]) for view in views):
         return ""
-    names = [load.record.identifier for load in loads]
-    homes = [name for name in names if (name in express) != placing.patient]
+    names = [view.load.record.identifier for view in views]
+    homes = [
+        view.load.record.identifier for view in views if view.express != placing.patient
+    ]
     return home_of(shared[-1].identifier, homes or names)
 
 
-def _interference_ms(
-    placing: Placing, load: EndpointLoad, express: frozenset[str], now_s: float
-) -> float:
+def _interference_ms(placing: Placing, view: EngineView, *, split: bool) -> float:
     """Return what streams of the other kind cost a request, or it them."""
-    cost_ms = CROWDING_MS * load.all_running(now_s)
-    reserved = load.record.identifier in express
-    if express and placing.patient == reserved:
-        cost_ms += PATIENT_ON_EXPRESS_MS if reserved else URGENT_ON_BULK_MS
-    if reserved and placing.heavy:
-        cost_ms += HEAVY_MS * load.all_running(now_s)
+    cost_ms = 0.0
+    if split and placing.patient == view.express:
+        cost_ms += PATIENT_ON_EXPRESS_MS if view.express else URGENT_ON_BULK_MS
+    if view.express and placing.heavy:
+        cost_ms += HEAVY_MS * view.running
     return cost_ms
 
 
 def rank_engines(
     placing: Placing,
-    loads: Sequence[EndpointLoad],
+    views: Sequence[EngineView],
     now_s: float,
-    express: frozenset[str] = frozenset(),
     *,
     reuse_s: float,
 ) -> list[Candidate]:
     """Return the engines with their costs, the cheapest first."""
     shared = placing.parts[:-1]
     shared_tokens = sum(part.tokens for part in shared)
-    warm_tokens = _warm_tokens(shared, loads, now_s - reuse_s)
-    home = _home(placing, loads, express)
+    warm_tokens = _warm_tokens(shared, views, now_s - reuse_s)
+    home = _home(placing, views)
+    split = any(view.express for view in views)
+    far_ms = DISTANCE_MS + DISTANCE_MS_PER_KIB * placing.body_bytes / 1024
     ranked = []
-    for load in loads:
+    for view in views:
+        load = view.load
         record = load.record
         cached = load.cached_tokens(placing.parts)
         uncached = max(0, placing.prompt_tokens - cached)
         prefill_ms = load.prefill_ms(uncached, placing.prompt_tokens - uncached)
-        backlog_ms = wait_ms = load.backlog_ms(now_s)
-        if placing.patient:
-            wait_ms = max(wait_ms, load.debt_ms(now_s) / READING_SHARE)
-        cost_ms = wait_ms + prefill_ms
+        wait_ms = view.patient_wait_ms if placing.patient else view.backlog_ms
+        cost_ms = wait_ms + prefill_ms + view.shared_ms
         cost_ms += REREAD_MS_PER_TOKEN * max(0, warm_tokens - cached)
-        cost_ms += _interference_ms(placing, load, express, now_s)
-        cost_ms += FAILURE_MS * load.failure_share(now_s) ** 2
+        cost_ms += _interference_ms(placing, view, split=split)
         if record.identifier == home:
             cost_ms -= HOME_MS_PER_TOKEN * shared_tokens
         if record.data_centre != placing.data_centre:
-            cost_ms += DISTANCE_MS + DISTANCE_MS_PER_KIB * placing.body_bytes / 1024
+            cost_ms += far_ms
         ranked.append(
-            Candidate(
-                load=load,
-                cost_ms=cost_ms,
-                prefill_ms=prefill_ms,
-                backlog_ms=backlog_ms,
-                cached_tokens=cached,
-                express=record.identifier in express,
-            )
+            Candidate(load, cost_ms, prefill_ms, view.backlog_ms, cached, view.express)
         )
-    ranked.sort(key=lambda candidate: candidate.cost_ms)
+    ranked.sort(key=_cost)
     return ranked
+
+
+def _cost(candidate: Candidate) -> float:
+    return candidate.cost_ms
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -17,7 +17,6 @@
 from shallotroad.gateway.admission import Admission
 from shallotroad.gateway.fleet import Fleet
 from shallotroad.gateway.job import Job
-from shallotroad.gateway.membership import Membership
 from shallotroad.platform.headers import CallerRequest
 from shallotroad.platform.headers import PromptPart
 from shallotroad.policy.cold_start import ColdStart
@@ -160,30 +159,32 @@
     clock: Clock
     fleet: Fleet
     catalogue: Catalogue
-    membership: Membership
     admission: Admission
-    placed: list[tuple[str, tuple[PromptPart, ...]]]
 
 
-def make_desk(endpoints: int = 6, **record: Any) -> Desk:
-    clock = Clock()
-    fleet = Fleet(clock=clock, regions={"a": "r"})
-    catalogue = Catalogue(on_endpoint=fleet.put, on_gone=fleet.drop)
-    membership = Membership(name="entry-1", address="", incarnation=1, seeds=())
-    placed: list[tuple[str, tuple[PromptPart, ...]]] = []
+def make_desk(
+    endpoints: int = 6,
+    *,
+    name: str = "entry-1",
+    clock: Clock | None = None,
+    **record: Any,
+) -> Desk:
+    clock = clock or Clock()
+    closed: set[str] = set()
+    fleet = Fleet(clock=clock, regions={"a": "r", "b": "r"}, closed=closed)
+    catalogue = Catalogue(on_endpoint=fleet.put, on_gone=fleet.drop, closed=closed)
     admission = Admission(
         fleet=fleet,
         catalogue=catalogue,
-        membership=membership,
-        cold_start=ColdStart(entry="entry-1"),
-        placed=lambda endpoint, parts: placed.append((endpoint, parts)),
+        cold_start=ColdStart(entry=name),
+        cold_owners=lambda _: [name],
         reuse_s=10.0,
         clock=clock,
     )
     catalogue.adopt_configuration(make_configuration())
     for number in range(endpoints):
         catalogue.put_endpoint(make_record(f"e{number}", port=9000 + number, **record))
-    return Desk(clock, fleet, catalogue, membership, admission, placed)
+    return Desk(clock, fleet, catalogue, admission)
 
 
 def make_rng() -> random.Random:
--- /dev/null
+++ b/tests/unit/gateway/coordination/test_coordinator_lost.py
@@ -0,0 +1,152 @@
+"""Pattern: the coordinator is killed, cut off, leaves, or its words are lost."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from shallotroad.gateway.coordination.coordinator import SILENT_S
+from tests.coordination_builders import Entry
+from tests.coordination_builders import Network
+from tests.coordination_builders import make_entries
+from tests.gateway_builders import make_gateway_job
+
+
+def counted(entry: Entry) -> int:
+    return sum(load.running for load in entry.desk.fleet.loads.values())
+
+
+async def test_the_next_coordinator_answers_while_the_first_is_silent() -> None:
+    network = Network()
+    entries = make_entries(network, 4)
+    network.silent.add("g0")
+    clock = entries[3].desk.clock
+    begun_s = clock()
+    await entries[3].placer.place(make_gateway_job(now_s=clock()))
+    assert clock() - begun_s < 0.3
+    assert entries[1].coordinator.granted == 1
+    begun_s = clock()
+    await entries[3].placer.place(make_gateway_job(now_s=clock()))
+    assert clock() - begun_s < 0.05  # the silent one is not asked again at once
+
+
+async def test_an_entry_that_is_cut_off_places_by_itself() -> None:
+    network = Network()
+    entries = make_entries(network, 4)
+    network.silent.add("g3")
+    clock = entries[3].desk.clock
+    begun_s = clock()
+    await entries[3].placer.place(make_gateway_job(now_s=clock()))
+    assert clock() - begun_s < 0.5
+    assert counted(entries[3]) == 1
+
+
+async def test_a_coordinator_that_leaves_hands_over_at_once() -> None:
+    entries = make_entries(Network(), 4)
+    entries[0].leaving.append(True)
+    clock = entries[3].desk.clock
+    begun_s = clock()
+    await entries[3].placer.place(make_gateway_job(now_s=clock()))
+    assert clock() - begun_s < 0.05
+    assert entries[1].coordinator.granted == 1
+
+
+async def test_a_successor_learns_the_open_work_from_reports() -> None:
+    entries = make_entries(Network(), 4)
+    clock = entries[3].desk.clock
+    for _ in range(3):
+        await entries[3].placer.place(make_gateway_job(now_s=clock()))
+    assert counted(entries[1]) == 0
+    entries[3].placer.report()
+    await asyncio.sleep(0.02)
+    assert counted(entries[1]) == counted(entries[0]) == 3
+
+
+async def test_a_report_heals_a_lost_end() -> None:
+    network = Network()
+    entries = make_entries(network, 3)
+    clock = entries[2].desk.clock
+    candidate = await entries[2].placer.place(make_gateway_job(now_s=clock()))
+    network.lose = lambda data: data.startswith(b'["end"')
+    entries[2].placer.ended(candidate, success=True)
+    await asyncio.sleep(0.02)
+    assert counted(entries[0]) == 1
+    entries[2].placer.report()
+    await asyncio.sleep(0.02)
+    assert counted(entries[0]) == 0
+
+
+async def test_a_lost_question_is_asked_again() -> None:
+    network = Network()
+    entries = make_entries(network, 3)
+    clock = entries[2].desk.clock
+    lost: list[bytes] = []
+
+    def first_ask(data: bytes) -> bool:
+        if data.startswith(b'["ask"') and not lost:
+            lost.append(data)
+            return True
+        return False
+
+    network.lose = first_ask
+    await entries[2].placer.place(make_gateway_job(now_s=clock()))
+    assert lost
+    assert entries[0].coordinator.granted == 1
+
+
+async def test_a_lost_grant_is_told_again_and_counted_once() -> None:
+    network = Network()
+    entries = make_entries(network, 3)
+    clock = entries[2].desk.clock
+    lost: list[bytes] = []
+
+    def first_grant(data: bytes) -> bool:
+        if data.startswith(b'["grant"') and not lost:
+            lost.append(data)
+            return True
+        return False
+
+    network.lose = first_grant
+    await entries[2].placer.place(make_gateway_job(now_s=clock()))
+    assert lost
+    assert counted(entries[0]) == 1
+
+
+async def test_the_work_of_an_entry_that_died_is_forgotten() -> None:
+    network = Network()
+    entries = make_entries(network, 3)
+    clock = entries[2].desk.clock
+    await entries[2].placer.place(make_gateway_job(now_s=clock()))
+    network.silent.add("g2")
+    entries[0].coordinator.expire()
+    assert counted(entries[0]) == 1
+    await asyncio.sleep(SILENT_S + 0.1)
+    entries[0].coordinator.expire()
+    assert counted(entries[0]) == 0
+
+
+async def test_an_endpoint_that_the_entry_knows_to_leave_is_not_used() -> None:
+    entries = make_entries(Network(), 3)
+    clock = entries[2].desk.clock
+    fleet = entries[2].desk.fleet
+    for name in ("e0", "e1", "e2", "e3", "e4"):
+        fleet.put(fleet.loads[name].record._replace(draining=True))
+    candidate = await entries[2].placer.place(make_gateway_job(now_s=clock()))
+    assert candidate.load.record.identifier == "e5"
+
+
+async def test_a_caller_that_leaves_takes_its_question_back() -> None:
+    entries = make_entries(Network(), 3)
+    clock = entries[0].desk.clock
+    for load in entries[0].desk.fleet.loads.values():
+        for _ in range(load.record.slots):
+            load.begin(1.0, clock())
+    task = asyncio.create_task(entries[2].placer.place(make_gateway_job(now_s=clock())))
+    await asyncio.sleep(0.05)
+    assert entries[0].desk.admission.waiting == 1
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await task
+    await asyncio.sleep(0.02)
+    assert entries[0].desk.admission.waiting == 0
--- a/tests/unit/gateway/test_news.py
+++ b/tests/unit/gateway/test_news.py
@@ -19,7 +19,7 @@
 
     def __init__(self) -> None:
         self.clock = Clock()
-        fleet = Fleet(clock=self.clock, regions={})
+        fleet = Fleet(clock=self.clock, regions={}, closed=set())
         self.catalogue = Catalogue(on_endpoint=fleet.put, on_gone=fleet.drop)
         store = StoreClient(address=Address("127.0.0.1", 1))
         self.news = News(store=store, catalogue=self.catalogue, clock=self.clock)
--- a/tests/unit/policy/test_endpoint_load.py
+++ b/tests/unit/policy/test_endpoint_load.py
@@ -2,7 +2,6 @@
 
 from shallotroad.platform.headers import PromptPart
 from shallotroad.policy.endpoint_load import READING_SHARE
-from shallotroad.policy.endpoint_load import LoadReport
 from tests.gateway_builders import make_load
 from tests.gateway_builders import make_record
 
@@ -33,11 +32,10 @@
     assert load.backlog_ms(NOW_S + 1.0) > 700
 
 
-def test_debt_falls_with_time_and_counts_what_peers_place() -> None:
+def test_debt_counts_all_that_is_placed_and_falls_with_time() -> None:
     load = make_load()
     load.begin(300.0, NOW_S)
-    load.report("peer", LoadReport(1, 0, 0, 1000), NOW_S)
-    load.report("peer", LoadReport(1, 0, 0, 1400), NOW_S)
+    load.begin(400.0, NOW_S)
     assert load.debt_ms(NOW_S) == 700
     assert load.debt_ms(NOW_S + 0.5) == 700 - 500 * READING_SHARE
 
@@ -49,10 +47,3 @@
     load.restart(make_record(incarnation_ms=2), NOW_S)
     assert load.cached_tokens([PromptPart("a", 10)]) == 0
     assert load.failure_share(NOW_S) == 0.0
-
-
-def test_peers_that_fall_silent_do_not_count_for_ever() -> None:
-    load = make_load()
-    load.report("peer", LoadReport(9, 0, 500, 0), NOW_S)
-    assert load.all_running(NOW_S) == 9
-    assert load.all_running(NOW_S + 5.0) == 0
