Count an urgent stream's token by what it adds to a step; end waits in time

Ruled out: ghosts in the account (engines with no work showed no backlog).

Change: URGENT_TOKEN_MS 0.15; a wait ends at 0.8 of the silence that callers bear; a silent coordinator is left out for 5 s; a round of placements builds a choice only for the engine it takes, and looks at 32 waiting requests.

--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -15,6 +15,7 @@
 from shallotroad.policy.placement import EngineView
 from shallotroad.policy.placement import rank_engines
 from shallotroad.policy.placement import view_engine
+from shallotroad.policy.recent_parts import RecentParts
 
 
 if TYPE_CHECKING:
@@ -27,6 +28,7 @@
     from shallotroad.policy.cold_start import ColdStart
     from shallotroad.policy.demand import Demand
     from shallotroad.policy.endpoint_load import EndpointLoad
+    from shallotroad.policy.placement import Ranked
 
 BACKLOG_MS = 350.0  # prompts an engine may have waiting before less urgent work waits
 DEBT_GROWTH = 0.6  # of the time waited; no prompt waits long for a quiet engine
@@ -35,10 +37,9 @@
     0.8  # of the objective; above it another engine or a wait is better
 )
 EXPRESS_AFTER_SHARE = 0.6  # of the objective; then a patient stream may go anywhere
-LAST_START_SHARE = 0.5  # of the time left; the other half is for the answer
 PUMP_S = 0.05  # between looks; backlogs and cold starts end by themselves
-SOON_S = 0.004  # one round serves the changes that come together
-MOST_LOOKS = 48  # waiting requests without room in a round; the rest are less urgent
+SOON_S = 0.008  # one round serves the changes that come together
+MOST_LOOKS = 32  # waiting requests without room in a round; the rest are less urgent
 MOST_WAITING = 2_000
 SHORTEST_RETRY_S = 0.2
 LONGEST_RETRY_S = 3.0
@@ -112,6 +113,7 @@
         self._cold_start = cold_start
         self._cold_owners = cold_owners
         self._clock = clock
+        self._recent = RecentParts()
         self._waiting: list[Waiter] = []
         self._scheduled: asyncio.TimerHandle | None = None
         fleet.changed = self.pump_soon
@@ -166,8 +168,7 @@
         if waiter is None:
             return future.result()
         try:
-            left_s = demand.end_s - self._clock()
-            async with asyncio.timeout(LAST_START_SHARE * left_s):
+            async with asyncio.timeout(demand.last_start_s - self._clock()):
                 return await future
         except TimeoutError:
             if future.done() and not future.cancelled():
@@ -227,51 +228,37 @@
     def _try(self, demand: Demand, moment: Round) -> Candidate | None:
         service = self._catalogue.service(demand.service)
         views = moment.usable(demand)
-        ranked = rank_engines(
-            demand.placing, views, moment.now_s, reuse_s=self._reuse_s
-        )
-        for candidate in ranked:
-            load = candidate.load
+        if service.engine is not None and not any(
+            _has_room(demand, view, moment.now_s) for view in views
+        ):
+            return None
+        shared = demand.placing.parts[:-1]
+        warm = self._recent.warm_tokens(shared, moment.now_s - self._reuse_s)
+        for ranked in rank_engines(demand.placing, views, warm_tokens=warm):
+            load = ranked.view.load
             if load.running >= load.record.slots:
                 continue
-            if not self._has_room(demand, service, candidate, moment.now_s):
+            if service.engine is not None and not _has_room(
+                demand, ranked.view, moment.now_s
+            ):
                 # The cost counts the wait: elsewhere would cost still more.
                 return None
             if self._permitted(service, load, moment.now_s):
-                placed = self._begin(demand, service, candidate, moment.now_s)
+                placed = self._begin(demand, service, ranked, moment.now_s)
                 moment.changed(load)
                 return placed
         return None
 
     def _begin(
-        self, demand: Demand, service: Service, candidate: Candidate, now_s: float
+        self, demand: Demand, service: Service, ranked: Ranked, now_s: float
     ) -> Candidate:
-        load = candidate.load
-        due_s = load.begin(
-            candidate.prefill_ms, now_s, urgent_tokens=demand.urgent_tokens
-        )
+        load = ranked.view.load
+        due_s = load.begin(ranked.prefill_ms, now_s, urgent_tokens=demand.urgent_tokens)
         if service.engine is not None:
             load.memory_tokens = service.engine.memory_tokens
             load.note_parts(demand.placing.parts, now_s)
-        return candidate._replace(due_s=due_s)
-
-    def _has_room(
-        self, demand: Demand, service: Service, candidate: Candidate, now_s: float
-    ) -> bool:
-        if service.engine is None:
-            return True
-        patient = demand.placing.patient
-        waited_ms = (now_s - demand.arrival_s) * 1000
-        if patient and candidate.express:
-            return (
-                candidate.backlog_ms <= 0
-                and waited_ms > EXPRESS_AFTER_SHARE * demand.objective_ms
-            )
-        debt_limit_ms = DEBT_MS + DEBT_GROWTH * waited_ms
-        if patient and candidate.load.debt_ms(now_s) > debt_limit_ms:
-            return False
-        limit_ms = min(BACKLOG_MS, URGENT_BACKLOG_SHARE * demand.objective_ms)
-        return candidate.backlog_ms <= limit_ms
+            self._recent.note(demand.placing.parts, now_s)
+        return ranked.candidate()._replace(due_s=due_s)
 
     def _permitted(self, service: Service, load: EndpointLoad, now_s: float) -> bool:
         if now_s >= load.cold_until_s or service.cold_requests_per_s <= 0:
@@ -284,6 +271,19 @@
         )
 
 
+def _has_room(demand: Demand, view: EngineView, now_s: float) -> bool:
+    """Return whether an engine may be given one more prompt of this kind."""
+    waited_ms = (now_s - demand.arrival_s) * 1000
+    patient = demand.placing.patient
+    if patient and view.express:
+        late = waited_ms > EXPRESS_AFTER_SHARE * demand.objective_ms
+        return late and view.backlog_ms <= 0
+    if patient and view.debt_ms > DEBT_MS + DEBT_GROWTH * waited_ms:
+        return False
+    limit_ms = min(BACKLOG_MS, URGENT_BACKLOG_SHARE * demand.objective_ms)
+    return view.backlog_ms <= limit_ms
+
+
 def _settle(
     future: asyncio.Future[Candidate],
     candidate: Candidate,
--- a/src/shallotroad/gateway/coordination/messages.py
+++ b/src/shallotroad/gateway/coordination/messages.py
@@ -108,7 +108,13 @@
 
 def _demand_to_row(demand: Demand, now_s: float) -> list[Any]:
     placing = demand.placing
-    times = (demand.arrival_s, demand.objective_s, demand.end_s, demand.deadline_s)
+    times = (
+        demand.arrival_s,
+        demand.objective_s,
+        demand.end_s,
+        demand.deadline_s,
+        demand.last_start_s,
+    )
     return [
         demand.service,
         placing.data_centre,
@@ -130,7 +136,8 @@
 def _row_to_demand(row: list[Any], now_s: float) -> Demand:
     service, centre, parts, tokens, size, patient, heavy, tier, route_tier = row[:9]
     offsets, streams, urgent_tokens, excluded, regions = row[9:]
-    arrival_s, objective_s, end_s, deadline_s = (now_s + o / MS_PER_S for o in offsets)
+    times = [now_s + float(offset) / MS_PER_S for offset in offsets]
+    arrival_s, objective_s, end_s, deadline_s, last_start_s = times
     shares = tuple(PromptPart(str(name), int(size)) for name, size in parts)
     return Demand(
         service=service,
@@ -141,6 +148,7 @@
         objective_s=objective_s,
         end_s=end_s,
         deadline_s=deadline_s,
+        last_start_s=last_start_s,
         streams=streams,
         urgent_tokens=urgent_tokens,
         excluded=frozenset(excluded),
--- a/src/shallotroad/gateway/coordination/placer.py
+++ b/src/shallotroad/gateway/coordination/placer.py
@@ -10,7 +10,6 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from shallotroad.gateway.admission import LAST_START_SHARE
 from shallotroad.gateway.coordination.exceptions import CoordinatorLostError
 from shallotroad.gateway.coordination.messages import Ask
 from shallotroad.gateway.coordination.messages import Decline
@@ -43,7 +42,7 @@
 MOST_UNANSWERED = 2
 MOST_COORDINATORS = 2  # asked in turn; then the entry decides for itself
 MOST_GRANTS = 3  # of endpoints that this entry may not use
-SUSPECT_S = 2.0  # a coordinator that did not answer is left out for this long
+SUSPECT_S = 5.0  # by then gossip tells whether a coordinator is dead
 REPORT_S = 0.25
 ENTRIES_AT_FULL_RATE = 40  # with more, reports are rarer
 
@@ -107,7 +106,7 @@
             job.waited_ms += (self._clock() - begun_s) * 1000
 
     def _demand(self, job: Job) -> Demand:
-        return job.demand(self._fleet.unusable(job.service.name))
+        return job.demand(self._clock(), self._fleet.unusable(job.service.name))
 
     async def _place_on_engine(self, job: Job) -> Candidate:
         service = job.service.name
@@ -204,7 +203,7 @@
             coordinator, asyncio.get_running_loop().create_future(), asyncio.Event()
         )
         self._questions[number] = question
-        last_s = self._clock() + LAST_START_SHARE * (demand.end_s - self._clock())
+        last_s = demand.last_start_s
         unanswered = 0
         granted = False
         try:
--- a/src/shallotroad/gateway/job.py
+++ b/src/shallotroad/gateway/job.py
@@ -17,6 +17,13 @@
     from shallotroad.platform.headers import CallerRequest
 
 
+LAST_START_SHARE = 0.5  # of the time left; the other half is for the answer
+SHORTEST_SILENCE_S = 2.0  # after which callers leave a stream, by the protocol:
+SILENT_OBJECTIVES = 4.0  # the longest of this, so many objectives
+SILENT_PAUSES = 8.0  # and so many of the route's longest pauses
+WAIT_SHARE = 0.8  # of that silence; the rest is for the prompt
+
+
 class Job:
     """A request with its route, team and times; all times are monotonic."""
 
@@ -71,11 +78,28 @@
         limit = pausing_tokens(shortest_pause_ms, engine.tokens_per_event)
         return self.request.prompt_tokens > limit
 
-    def demand(self, avoided: frozenset[str] = frozenset()) -> Demand:
+    def last_start_s(self, now_s: float) -> float:
+        """Return until when it may wait for an endpoint.
+
+        Callers leave a stream that stays silent, however much time it has.
+        """
+        last_s = now_s + LAST_START_SHARE * (self.end_s - now_s)
+        if not self.streams:
+            return last_s
+        silence_s = max(
+            SHORTEST_SILENCE_S,
+            SILENT_OBJECTIVES * self.route.objective_ms / 1000,
+            SILENT_PAUSES * self.route.pause_ms / 1000,
+        )
+        return min(last_s, self.arrival_s + WAIT_SHARE * silence_s)
+
+    def demand(self, now_s: float, avoided: frozenset[str] = frozenset()) -> Demand:
         """Return what its placement depends on.
 
         Parameters
         ----------
+        now_s : float
+            Monotonic time in seconds.
         avoided : frozenset of str
             Endpoints that this entry can't use, besides those that failed.
         """
@@ -91,6 +115,7 @@
             objective_s=self.objective_s,
             end_s=self.end_s,
             deadline_s=self.deadline_s,
+            last_start_s=self.last_start_s(now_s),
             streams=self.streams,
             urgent_tokens=self.expected_tokens if self.urgent else 0,
             excluded=frozenset(self.excluded) | avoided,
--- a/src/shallotroad/policy/demand.py
+++ b/src/shallotroad/policy/demand.py
@@ -23,6 +23,8 @@
         When it came, and when its first event is due.
     end_s, deadline_s : float
         When the caller must have a final answer, and when it leaves.
+    last_start_s : float
+        Until when it may wait for an endpoint.
     streams : bool
         Whether the answer is a series of events.
     urgent_tokens : int
@@ -42,6 +44,7 @@
     objective_s: float
     end_s: float
     deadline_s: float
+    last_start_s: float
     streams: bool
     urgent_tokens: int
     excluded: frozenset[str]
--- a/src/shallotroad/policy/endpoint_load.py
+++ b/src/shallotroad/policy/endpoint_load.py
@@ -27,7 +27,7 @@
 CACHE_SHARE = 1.0  # of an engine's memory; running requests hold the rest
 FAILURE_HALF_LIFE_S = 3.0
 WORK_HALF_LIFE_S = 4.0  # of the recent work that splits the engines
-URGENT_TOKEN_MS = 0.4  # of an engine's time for a token beside thirty others
+URGENT_TOKEN_MS = 0.15  # of an engine's time for one more stream's token in a step
 MOST_PARTS = 4096
 
 
@@ -191,11 +191,6 @@
             tokens += part.tokens
         return tokens
 
-    def used_since(self, identifier: str, since_s: float) -> bool:
-        """Return whether a part was used here since a monotonic time."""
-        held = self._parts.get(identifier)
-        return held is not None and held.used_s >= since_s
-
     def note_parts(self, parts: Sequence[PromptPart], now_s: float) -> None:
         """Note that the parts are read there now."""
         for part in parts:
--- a/src/shallotroad/policy/placement.py
+++ b/src/shallotroad/policy/placement.py
@@ -17,7 +17,7 @@
 
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterator
     from collections.abc import Sequence
 
     from shallotroad.platform.headers import PromptPart
@@ -86,10 +86,9 @@
     ----------
     load : EndpointLoad
         The engine.
-    backlog_ms : float
-        Time to read the prompts that wait there.
-    patient_wait_ms : float
-        The same for patient streams, which also wait for the engine's debt.
+    backlog_ms, debt_ms : float
+        Time to read the prompts that wait there; reading time placed there
+        ahead of its share.
     shared_ms : float
         Crowding and failures, which cost every request the same.
     running : int
@@ -100,12 +99,33 @@
 
     load: EndpointLoad
     backlog_ms: float
-    patient_wait_ms: float
+    debt_ms: float
     shared_ms: float
     running: int
     express: bool
 
 
+class Ranked(NamedTuple):
+    """An engine and what a request would cost there."""
+
+    cost_ms: float
+    view: EngineView
+    prefill_ms: float
+    cached_tokens: int
+
+    def candidate(self) -> Candidate:
+        """Return the engine as a choice."""
+        view = self.view
+        return Candidate(
+            load=view.load,
+            cost_ms=self.cost_ms,
+            prefill_ms=self.prefill_ms,
+            backlog_ms=view.backlog_ms,
+            cached_tokens=self.cached_tokens,
+            express=view.express,
+        )
+
+
 @lru_cache(maxsize=65_536)
 def _weight(part: str, endpoint: str) -> int:
     digest = hashlib.blake2b(f"{part} {endpoint}".encode(), digest_size=8).digest()
@@ -150,45 +170,33 @@
     load: EndpointLoad, express: frozenset[str], now_s: float
 ) -> EngineView:
     """Return what a round of placements needs to know of an engine."""
-    backlog_ms = load.backlog_ms(now_s)
     failures_ms = FAILURE_MS * load.failure_share(now_s) ** 2
     return EngineView(
         load=load,
-        backlog_ms=backlog_ms,
-        patient_wait_ms=max(backlog_ms, load.debt_ms(now_s) / READING_SHARE),
+        backlog_ms=load.backlog_ms(now_s),
+        debt_ms=load.debt_ms(now_s),
         shared_ms=CROWDING_MS * load.running + failures_ms,
         running=load.running,
         express=load.record.identifier in express,
     )
 
 
-def _warm_tokens(
-    shared: Sequence[PromptPart], views: Iterable[EngineView], since_s: float
-) -> int:
-    """Return the tokens of shared parts that some engine used recently."""
-    return sum(
-        part.tokens
-        for part in shared
-        if any(view.load.used_since(part.identifier, since_s) for view in views)
-    )
-
-
-def _home(placing: Placing, views: Sequence[EngineView]) -> str:
+def _home(
+    placing: Placing, views: Sequence[EngineView], cached: Sequence[int]
+) -> EngineView | None:
     """Return the home of a prompt that no engine is known to have cached."""
     shared = placing.parts[:-1]
-    if not shared or any(view.load.cached_tokens(shared[:1]) for view in views):
-        return ""
-    names = [view.load.record.identifier for view in views]
-    homes = [
-        view.load.record.identifier for view in views if view.express != placing.patient
-    ]
-    return home_of(shared[-1].identifier, homes or names)
+    if not shared or any(cached):
+        return None
+    by_name = {view.load.record.identifier: view for view in views}
+    homes = [n for n, view in by_name.items() if view.express != placing.patient]
+    return by_name[home_of(shared[-1].identifier, homes or list(by_name))]
 
 
-def _interference_ms(placing: Placing, view: EngineView, *, split: bool) -> float:
+def _interference_ms(placing: Placing, view: EngineView) -> float:
     """Return what streams of the other kind cost a request, or it them."""
     cost_ms = 0.0
-    if split and placing.patient == view.express:
+    if placing.patient == view.express:
         cost_ms += PATIENT_ON_EXPRESS_MS if view.express else URGENT_ON_BULK_MS
     if view.express and placing.heavy:
         cost_ms += HEAVY_MS * view.running
@@ -196,40 +204,45 @@
 
 
 def rank_engines(
-    placing: Placing,
-    views: Sequence[EngineView],
-    now_s: float,
-    *,
-    reuse_s: float,
-) -> list[Candidate]:
-    """Return the engines with their costs, the cheapest first."""
-    shared = placing.parts[:-1]
-    shared_tokens = sum(part.tokens for part in shared)
-    warm_tokens = _warm_tokens(shared, views, now_s - reuse_s)
-    home = _home(placing, views)
+    placing: Placing, views: Sequence[EngineView], *, warm_tokens: int
+) -> Iterator[Ranked]:
+    """Yield the engines with their costs, the cheapest first.
+
+    Parameters
+    ----------
+    placing : Placing
+        The request.
+    views : sequence of EngineView
+        The engines that may take it.
+    warm_tokens : int
+        Tokens of its shared parts that some engine used recently.
+    """
+    parts, total, patient = placing.parts, placing.prompt_tokens, placing.patient
+    cached = [view.load.cached_tokens(parts) for view in views]
+    home = _home(placing, views, cached)
+    home_ms = HOME_MS_PER_TOKEN * sum(part.tokens for part in parts[:-1])
     split = any(view.express for view in views)
     far_ms = DISTANCE_MS + DISTANCE_MS_PER_KIB * placing.body_bytes / 1024
-    ranked = []
-    for view in views:
+    costs = []
+    prefills_ms = []
+    for order, (view, tokens) in enumerate(zip(views, cached, strict=True)):
         load = view.load
-        record = load.record
-        cached = load.cached_tokens(placing.parts)
-        uncached = max(0, placing.prompt_tokens - cached)
-        prefill_ms = load.prefill_ms(uncached, placing.prompt_tokens - uncached)
-        wait_ms = view.patient_wait_ms if placing.patient else view.backlog_ms
+        uncached = total - tokens if tokens < total else 0
+        prefill_ms = load.prefill_ms(uncached, total - uncached)
+        wait_ms = view.backlog_ms
+        if patient:
+            wait_ms = max(wait_ms, view.debt_ms / READING_SHARE)
         cost_ms = wait_ms + prefill_ms + view.shared_ms
-        cost_ms += REREAD_MS_PER_TOKEN * max(0, warm_tokens - cached)
-        cost_ms += _interference_ms(placing, view, split=split)
-        if record.identifier == home:
-            cost_ms -= HOME_MS_PER_TOKEN * shared_tokens
-        if record.data_centre != placing.data_centre:
+        if tokens < warm_tokens:
+            cost_ms += REREAD_MS_PER_TOKEN * (warm_tokens - tokens)
+        if split and (patient == view.express or placing.heavy):
+            cost_ms += _interference_ms(placing, view)
+        if view is home:
+            cost_ms -= home_ms
+        if load.record.data_centre != placing.data_centre:
             cost_ms += far_ms
-        ranked.append(
-            Candidate(load, cost_ms, prefill_ms, view.backlog_ms, cached, view.express)
-        )
-    ranked.sort(key=_cost)
-    return ranked
-
-
-def _cost(candidate: Candidate) -> float:
-    return candidate.cost_ms
+        costs.append((cost_ms, order))
+        prefills_ms.append(prefill_ms)
+    costs.sort()
+    for cost_ms, order in costs:
+        yield Ranked(cost_ms, views[order], prefills_ms[order], cached[order])
--- a/tests/unit/gateway/coordination/test_messages.py
+++ b/tests/unit/gateway/coordination/test_messages.py
@@ -40,7 +40,7 @@
 
 def test_times_of_a_question_move_to_the_receivers_clock() -> None:
     job = make_gateway_job(now_s=100.0)
-    sent = Ask(SENDER, 1, job.demand(frozenset({"e9"})))
+    sent = Ask(SENDER, 1, job.demand(100.0, frozenset({"e9"})))
     taken = decode(encode(sent, 100.5), 7.5)
     assert isinstance(taken, Ask)
     assert taken.demand.arrival_s == 7.0
--- a/tests/unit/gateway/test_burst_of_long_prompts.py
+++ b/tests/unit/gateway/test_burst_of_long_prompts.py
@@ -23,12 +23,12 @@
     desk = make_desk()
     guides = [make_guide_job(f"t{n}", f"o{n}", desk.clock()) for n in range(4)]
     busy = {
-        (await desk.admission.place(guide.demand())).load.record.identifier
+        (await desk.admission.place(guide.demand(desk.clock()))).load.record.identifier
         for guide in guides
     }
     quick = [make_gateway_job(now_s=desk.clock()) for _ in range(8)]
     used = {
-        (await desk.admission.place(job.demand())).load.record.identifier
+        (await desk.admission.place(job.demand(desk.clock()))).load.record.identifier
         for job in quick
     }
     assert not busy & used
@@ -37,7 +37,10 @@
 async def test_long_prompts_wait_at_the_entry_when_engines_are_read_full() -> None:
     desk = make_desk()
     jobs = [make_guide_job(f"t{n}", f"o{n}", desk.clock()) for n in range(40)]
-    tasks = [asyncio.create_task(desk.admission.place(job.demand())) for job in jobs]
+    tasks = [
+        asyncio.create_task(desk.admission.place(job.demand(desk.clock())))
+        for job in jobs
+    ]
     await asyncio.sleep(0.01)
     started = [task for task in tasks if task.done()]
     assert 4 <= len(started) <= 20
@@ -54,7 +57,7 @@
     for number in range(12):
         desk.clock.now_s += 0.12
         job = make_guide_job("hot", f"o{number}", desk.clock())
-        candidate = await desk.admission.place(job.demand())
+        candidate = await desk.admission.place(job.demand(desk.clock()))
         where[candidate.load.record.identifier] += 1
         candidate.load.start(candidate.due_s, desk.clock())
     assert len(where) == 1
@@ -66,7 +69,7 @@
     for number in range(16):
         desk.clock.now_s += 0.3
         job = make_guide_job(f"t{number}", f"o{number}", desk.clock())
-        candidate = await desk.admission.place(job.demand())
+        candidate = await desk.admission.place(job.demand(desk.clock()))
         where[candidate.load.record.identifier] += 1
         candidate.load.start(candidate.due_s, desk.clock())
     assert len(where) >= 4
@@ -81,7 +84,7 @@
     job = make_gateway_job(now_s=desk.clock())
     job.timeout_s = desk.clock() + 0.05
     with pytest.raises(RefusedError):
-        await desk.admission.place(job.demand())
+        await desk.admission.place(job.demand(desk.clock()))
     assert desk.admission.waiting == 0
 
 
@@ -93,8 +96,8 @@
     low.tier = 2
     high = make_gateway_job(now_s=desk.clock())
     tasks = [
-        asyncio.create_task(desk.admission.place(low.demand())),
-        asyncio.create_task(desk.admission.place(high.demand())),
+        asyncio.create_task(desk.admission.place(low.demand(desk.clock()))),
+        asyncio.create_task(desk.admission.place(high.demand(desk.clock()))),
     ]
     await asyncio.sleep(0.01)
     load.end(dues[0], started=False, now_s=desk.clock())
@@ -112,7 +115,7 @@
     dues = [load.begin(1.0, desk.clock()) for _ in range(load.record.slots)]
     job = make_gateway_job(now_s=desk.clock())
     job.timeout_s = desk.clock() + 0.1
-    task = asyncio.create_task(desk.admission.place(job.demand()))
+    task = asyncio.create_task(desk.admission.place(job.demand(desk.clock())))
     await asyncio.sleep(0.01)
 
     def make_room() -> None:
