Ask the engines what they have cached when a gateway begins to coordinate

Ruled out: telling a successor of each placement (it died in the same moment, and nobody is left after a kill of all).

Change: the first placement after 5 s without one asks every engine of the service for its list, at most once in 15 s; questions are held for up to 0.1 s. Watches wait 2 s instead of 0.8: fewer calls of the store, and a silent connection is still noticed inside the bound.

--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -25,6 +25,7 @@
     from shallotroad.catalog.catalogue import Catalogue
     from shallotroad.catalog.configuration import Service
     from shallotroad.gateway.fleet import Fleet
+    from shallotroad.platform.headers import PromptPart
     from shallotroad.policy.cold_start import ColdStart
     from shallotroad.policy.demand import Demand
     from shallotroad.policy.endpoint_load import EndpointLoad
@@ -150,6 +151,10 @@
         self._waiting.append(waiter)
         return waiter
 
+    def note_cached(self, parts: Sequence[PromptPart]) -> None:
+        """Take parts that an engine has cached as used just now."""
+        self._recent.note(parts, self._clock())
+
     def withdraw(self, waiter: Waiter) -> None:
         """Forget a demand that waits, if it still does."""
         if waiter in self._waiting:
@@ -256,7 +261,7 @@
         due_s = load.begin(ranked.prefill_ms, now_s, urgent_tokens=demand.urgent_tokens)
         if service.engine is not None:
             load.memory_tokens = service.engine.memory_tokens
-            load.note_parts(demand.placing.parts, now_s)
+            load.note_parts(demand.placing.parts)
             self._recent.note(demand.placing.parts, now_s)
         return ranked.candidate()._replace(due_s=due_s)
 
--- a/src/shallotroad/gateway/coordination/coordinator.py
+++ b/src/shallotroad/gateway/coordination/coordinator.py
@@ -25,6 +25,7 @@
 
     from shallotroad.gateway.admission import Admission
     from shallotroad.gateway.admission import Waiter
+    from shallotroad.gateway.cache_survey import CacheSurvey
     from shallotroad.gateway.coordination.messages import Ask
     from shallotroad.gateway.coordination.messages import Ended
     from shallotroad.gateway.coordination.messages import Message
@@ -71,12 +72,16 @@
         fleet: Fleet,
         clock: Callable[[], float],
         leaving: Callable[[], bool],
+        survey: CacheSurvey,
     ) -> None:
         self._admission = admission
         self._fleet = fleet
         self._clock = clock
         self._leaving = leaving
+        self._survey = survey
+        survey.on_done = self._resume
         self._entries: dict[str, EntryWork] = {}
+        self._deferred: dict[tuple[Sender, int], tuple[Ask, Reply]] = {}
 
     @property
     def granted(self) -> int:
@@ -110,9 +115,18 @@
             reply(Hold(number))
         elif self._leaving():
             reply(Decline(number, "leaving"))
+        elif self._survey.pending(message.demand.service):
+            self._deferred[message.sender, number] = (message, reply)
+            reply(Hold(number))
         else:
             self._submit(entry, message, reply)
 
+    def _resume(self) -> None:
+        """Place what was held back until the caches were known."""
+        deferred, self._deferred = self._deferred, {}
+        for message, reply in deferred.values():
+            self.ask(message, reply)
+
     def _submit(self, entry: EntryWork, message: Ask, reply: Reply) -> None:
         number = message.number
         try:
@@ -160,6 +174,7 @@
 
     def ended(self, message: Ended) -> None:
         """Note the end of a request, or of a question."""
+        self._deferred.pop((message.sender, message.number), None)
         entry = self._entry(message.sender)
         if entry is None:
             return
--- a/src/shallotroad/gateway/coordination/placer.py
+++ b/src/shallotroad/gateway/coordination/placer.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from shallotroad.gateway.cache_survey import WAIT_S
 from shallotroad.gateway.coordination.exceptions import CoordinatorLostError
 from shallotroad.gateway.coordination.messages import Ask
 from shallotroad.gateway.coordination.messages import Decline
@@ -29,6 +30,7 @@
     from collections.abc import Callable
 
     from shallotroad.gateway.admission import Admission
+    from shallotroad.gateway.cache_survey import CacheSurvey
     from shallotroad.gateway.coordination.messages import Message
     from shallotroad.gateway.fleet import Fleet
     from shallotroad.gateway.job import Job
@@ -72,12 +74,14 @@
         admission: Admission,
         fleet: Fleet,
         membership: Membership,
+        survey: CacheSurvey,
         send: Send,
         clock: Callable[[], float],
     ) -> None:
         self._admission = admission
         self._fleet = fleet
         self._membership = membership
+        self._survey = survey
         self._send = send
         self._clock = clock
         self._sender = Sender(membership.name, membership.incarnation)
@@ -112,6 +116,8 @@
         service = job.service.name
         for name in self._coordinators(service)[:MOST_COORDINATORS]:
             if name == self._membership.name:
+                if self._survey.pending(service):
+                    await asyncio.sleep(WAIT_S)
                 break
             try:
                 return await self._ask(name, job)
@@ -184,7 +190,7 @@
         now_s = self._clock()
         load = self._fleet.loads[grant.endpoint]
         due_s = load.begin(grant.prefill_ms, now_s, urgent_tokens=demand.urgent_tokens)
-        load.note_parts(demand.placing.parts, now_s)
+        load.note_parts(demand.placing.parts)
         self._told.add(coordinator)
         candidate = Candidate(
             load=load,
--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -13,6 +13,7 @@
 
 from shallotroad.catalog.catalogue import Catalogue
 from shallotroad.gateway.admission import Admission
+from shallotroad.gateway.cache_survey import CacheSurvey
 from shallotroad.gateway.coordination.coordinator import Coordinator
 from shallotroad.gateway.coordination.line import Line
 from shallotroad.gateway.coordination.line import open_line
@@ -95,10 +96,13 @@
         reuse_s=settings.bounds.reuse_s,
         clock=clock,
     )
+    survey = CacheSurvey(fleet=fleet, clock=clock)
+    survey.on_listed = admission.note_cached
     placer = Placer(
         admission=admission,
         fleet=fleet,
         membership=membership,
+        survey=survey,
         send=line.send,
         clock=clock,
     )
@@ -107,6 +111,7 @@
         fleet=fleet,
         clock=clock,
         leaving=lambda: door.closing,
+        survey=survey,
     )
     line.serve(coordinator=coordinator, placer=placer)
     metrics = GatewayMetrics()
--- a/src/shallotroad/gateway/news.py
+++ b/src/shallotroad/gateway/news.py
@@ -27,7 +27,7 @@
     from shallotroad.platform.store import Batch
     from shallotroad.platform.store import StoreClient
 
-WATCH_MS = 800  # short, since a connection may go silent without a reset
+WATCH_MS = 2_000  # a connection that goes silent without a reset is noticed by then
 GATHER_S = 0.15  # between watches, so that one call brings several changes
 FIRST_BACKOFF_S = 0.1
 LONGEST_BACKOFF_S = 0.5
--- a/src/shallotroad/policy/endpoint_load.py
+++ b/src/shallotroad/policy/endpoint_load.py
@@ -9,10 +9,10 @@
 import math
 from collections import OrderedDict
 from typing import TYPE_CHECKING
-from typing import NamedTuple
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Sequence
 
     from shallotroad.catalog.endpoint import EndpointRecord
@@ -31,13 +31,6 @@
 MOST_PARTS = 4096
 
 
-class CachedPart(NamedTuple):
-    """A prompt part that an engine has probably cached."""
-
-    tokens: int
-    used_s: float
-
-
 class EndpointLoad:
     """Running work, prompt backlog, pace, failures and cached parts."""
 
@@ -59,7 +52,7 @@
         self._failure_weight = 0.0
         self._success_weight = 0.0
         self._judged_s = now_s
-        self._parts: OrderedDict[str, CachedPart] = OrderedDict()
+        self._parts: OrderedDict[str, int] = OrderedDict()
         self.memory_tokens = 0
         self.avoided_until_s = 0.0
 
@@ -191,16 +184,21 @@
             tokens += part.tokens
         return tokens
 
-    def note_parts(self, parts: Sequence[PromptPart], now_s: float) -> None:
+    def note_parts(self, parts: Iterable[PromptPart]) -> None:
         """Note that the parts are read there now."""
         for part in parts:
-            held = self._parts.pop(part.identifier, None)
-            self._part_tokens += part.tokens - (held.tokens if held else 0)
-            self._parts[part.identifier] = CachedPart(part.tokens, now_s)
+            self._part_tokens += part.tokens - self._parts.pop(part.identifier, 0)
+            self._parts[part.identifier] = part.tokens
         full = self.memory_tokens * CACHE_SHARE if self.memory_tokens else math.inf
         while self._part_tokens > full or len(self._parts) > MOST_PARTS:
-            _, oldest = self._parts.popitem(last=False)
-            self._part_tokens -= oldest.tokens
+            _, tokens = self._parts.popitem(last=False)
+            self._part_tokens -= tokens
+
+    def replace_parts(self, parts: Iterable[PromptPart]) -> None:
+        """Take what the engine itself says that it has cached."""
+        self._parts.clear()
+        self._part_tokens = 0
+        self.note_parts(parts)
 
     def restart(self, record: EndpointRecord, now_s: float) -> None:
         """Forget what belonged to an earlier incarnation."""
--- a/tests/coordination_builders.py
+++ b/tests/coordination_builders.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 from typing import cast
 
+from shallotroad.gateway.cache_survey import CacheSurvey
 from shallotroad.gateway.coordination.coordinator import Coordinator
 from shallotroad.gateway.coordination.line import Line
 from shallotroad.gateway.coordination.placer import Placer
@@ -55,6 +56,13 @@
         self._network.carry(self._host, data, address)
 
 
+class Surveyed(CacheSurvey):
+    """A survey that is over: there are no engines to ask."""
+
+    def pending(self, service: str) -> bool:
+        return False
+
+
 class Entry(NamedTuple):
     """One gateway's placement parts on a test's network; its host is its name."""
 
@@ -77,10 +85,12 @@
         datagram_port=1,
     )
     line = Line(membership=membership, clock=clock)
+    survey = Surveyed(fleet=desk.fleet, clock=clock)
     placer = Placer(
         admission=desk.admission,
         fleet=desk.fleet,
         membership=membership,
+        survey=survey,
         send=line.send,
         clock=clock,
     )
@@ -90,6 +100,7 @@
         fleet=desk.fleet,
         clock=clock,
         leaving=lambda: bool(leaving),
+        survey=survey,
     )
     line.serve(coordinator=coordinator, placer=placer)
     line.connection_made(cast("Any", Transport(network=network, host=name)))
--- a/tests/unit/policy/test_endpoint_load.py
+++ b/tests/unit/policy/test_endpoint_load.py
@@ -12,17 +12,17 @@
 def test_parts_leave_the_cache_model_least_recently_used_first() -> None:
     load = make_load()
     load.memory_tokens = 1000
-    load.note_parts([PromptPart("a", 400)], NOW_S)
-    load.note_parts([PromptPart("b", 400)], NOW_S)
-    load.note_parts([PromptPart("a", 400)], NOW_S)
-    load.note_parts([PromptPart("c", 400)], NOW_S)
+    load.note_parts([PromptPart("a", 400)])
+    load.note_parts([PromptPart("b", 400)])
+    load.note_parts([PromptPart("a", 400)])
+    load.note_parts([PromptPart("c", 400)])
     assert load.cached_tokens([PromptPart("a", 400)]) == 400
     assert load.cached_tokens([PromptPart("b", 400)]) == 0
 
 
 def test_a_later_part_counts_only_behind_all_parts_before_it() -> None:
     load = make_load()
-    load.note_parts([PromptPart("b", 50)], NOW_S)
+    load.note_parts([PromptPart("b", 50)])
     assert load.cached_tokens([PromptPart("a", 10), PromptPart("b", 50)]) == 0
 
 
@@ -42,7 +42,7 @@
 
 def test_a_restart_forgets_cache_and_failures() -> None:
     load = make_load()
-    load.note_parts([PromptPart("a", 10)], NOW_S)
+    load.note_parts([PromptPart("a", 10)])
     load.fail(NOW_S)
     load.restart(make_record(incarnation_ms=2), NOW_S)
     assert load.cached_tokens([PromptPart("a", 10)]) == 0
