Keep late long prompts off a reserved engine that has many streams

Change: patient prompts go to a reserved engine only while at most six streams run there. The log line of a finished stream tells its longest pause.

The test was seen to fail on the code before.

--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -38,6 +38,7 @@
     0.8  # of the objective; above it another engine or a wait is better
 )
 EXPRESS_AFTER_SHARE = 0.6  # of the objective; then a patient stream may go anywhere
+EXPRESS_STREAMS = 6  # that a patient stream's prompt may make pause at most
 PUMP_S = 0.05  # between looks; backlogs and cold starts end by themselves
 SOON_S = 0.008  # one round serves the changes that come together
 MOST_LOOKS = 32  # waiting requests without room in a round; the rest are less urgent
@@ -282,7 +283,7 @@
     patient = demand.placing.patient
     if patient and view.express:
         late = waited_ms > EXPRESS_AFTER_SHARE * demand.objective_ms
-        return late and view.backlog_ms <= 0
+        return late and view.backlog_ms <= 0 and view.running <= EXPRESS_STREAMS
     if patient and view.debt_ms > DEBT_MS + DEBT_GROWTH * waited_ms:
         return False
     limit_ms = min(BACKLOG_MS, URGENT_BACKLOG_SHARE * demand.objective_ms)
--- a/src/shallotroad/gateway/door.py
+++ b/src/shallotroad/gateway/door.py
@@ -50,8 +50,9 @@
         self._request = request
         self._closing = closing
         self.response: web.StreamResponse | None = None
-        self.pieces = 0
         self.started_s = 0.0
+        self.longest_pause_s = 0.0
+        self._written_s = 0.0
 
     async def start(self, head: AnswerHead) -> None:
         """Send the head of the first endpoint's answer."""
@@ -66,7 +67,11 @@
     async def write(self, data: bytes) -> None:
         """Send whole events."""
         assert self.response is not None
-        self.pieces += 1
+        now_s = asyncio.get_running_loop().time()
+        if self._written_s:
+            pause_s = now_s - self._written_s
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self._written_s = now_s
         await self.response.write(data)
 
 
@@ -183,6 +188,7 @@
             }
         if stream.started_s:
             inputs["first_ms"] = round((stream.started_s - arrival_s) * 1000, 1)
+            inputs["longest_pause_ms"] = round(stream.longest_pause_s * 1000, 1)
         decided("request finished", **inputs)
 
     def _count(
--- a/tests/unit/gateway/test_burst_of_long_prompts.py
+++ b/tests/unit/gateway/test_burst_of_long_prompts.py
@@ -34,6 +34,25 @@
     assert not busy & used
 
 
+async def test_a_late_long_prompt_spares_a_reserved_engine_with_many_streams() -> None:
+    desk = make_desk(endpoints=2)
+    (reserved,) = desk.fleet.express("chat")
+    (other,) = set(desk.fleet.loads) - {reserved}
+    load = desk.fleet.loads[reserved]
+    for _ in range(20):
+        load.start(load.begin(1.0, desk.clock()), desk.clock())
+    desk.fleet.loads[other].begin(9_000.0, desk.clock())
+    guide = make_guide_job("t", "o", desk.clock())
+    desk.clock.now_s += 2.0  # nearly its whole objective
+    task = asyncio.create_task(desk.admission.place(guide.demand(desk.clock())))
+    await asyncio.sleep(0.01)
+    assert not task.done()
+    for _ in range(20):
+        load.end(0.0, started=True, now_s=desk.clock())
+    desk.admission.pump()
+    assert (await task).load is load
+
+
 async def test_long_prompts_wait_at_the_entry_when_engines_are_read_full() -> None:
     desk = make_desk()
     jobs = [make_guide_job(f"t{n}", f"o{n}", desk.clock()) for n in range(40)]
