Add a fault soak of the gateway; end the process without teardown

The soak plays real gateways between stand-ins under overlapping faults from outside: processes paused, killed, ended and reloaded by signals, lines delayed, cut, silenced or lost one way, a store that goes away and forgets, endpoints that fail in seven ways, versions and drainings in series. It checks whole answers, at most once, told not run, planned work cuts nothing, graceful shutdown, versions that never revert, and recovery.

Cause: a request taken 2.4 s after SIGTERM ended 5.5 s after it, and the interpreter's teardown took 0.35 s beside sixteen busy processes, so that the process was still there when the grace period ended.

Change: connections are closed together, and the process ends by os._exit once its logs are written.

Ruled out: a request stuck in the gateway (its log shows it ending in time).

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := .venv/.installed
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test check unit processes spec chaos bench proto
+.PHONY: demo test check unit processes spec chaos soak bench proto
 
 $(POETRY):
 	python3 -m venv .poetry
@@ -37,6 +37,9 @@
 chaos: $(STAMP)
 	$(RUN) -m devtools.chaos $(foreach seed,$(or $(SEED),1),--seed $(seed))
 
+soak: $(STAMP)
+	$(RUN) -m devtools.soak $(if $(SEED),$(foreach seed,$(SEED),--seed $(seed)),--fresh 5)
+
 bench: $(STAMP)
 	$(POETRY) install --quiet --no-interaction --with bench
 	$(RUN) -m devtools.bench --out out
--- /dev/null
+++ b/devtools/gateway_bench.py
@@ -0,0 +1,188 @@
+"""Real gateway processes between stand-ins of the users' machines."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+import aiohttp
+
+from devtools.fault_proxy import FaultProxy
+from devtools.machine_standins import HOST
+from devtools.machine_standins import EndpointStandin
+from devtools.machine_standins import RouteSpec
+from devtools.machine_standins import StoreStandin
+from devtools.machine_standins import make_published
+from devtools.processes import free_port
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from pathlib import Path
+
+KEY = "k1"
+HEADERS = {"Host": "clinic.example", "Authorization": f"Token {KEY}"}
+ROUTES = [
+    RouteSpec("/book/", "unsafe", "shop", attempts=1),
+    RouteSpec("/stock/", "safe", "shop"),
+    RouteSpec("/chat/", "streaming", "model", attempts=1),
+    RouteSpec("/notes/", "streaming", "model", resumable=True),
+]
+
+
+class Reply(NamedTuple):
+    """What a caller got."""
+
+    status: int
+    body: bytes
+    whole: bool
+    headers: dict[str, str]
+
+
+class GatewayBench:
+    """The stand-ins and the gateway processes of one run."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self.store = StoreStandin()
+        self.endpoints: dict[str, EndpointStandin] = {}
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.ports: dict[str, dict[str, int]] = {}
+        self.proxies: dict[str, FaultProxy] = {}
+
+    async def add_proxy(self, name: str, port: int) -> FaultProxy:
+        """Put a fault proxy in front of a port."""
+        proxy = FaultProxy(target_host=HOST, target_port=port)
+        await proxy.start()
+        self.proxies[name] = proxy
+        return proxy
+
+    async def add_endpoint(
+        self, name: str, service: str, mode: str, *, proxied: bool = False
+    ) -> EndpointStandin:
+        """Start an endpoint and announce it."""
+        endpoint = EndpointStandin(name=name, service=service, mode=mode)
+        await endpoint.start()
+        self.endpoints[name] = endpoint
+        if proxied:
+            proxy = await self.add_proxy(name, endpoint.port)
+            endpoint.announced_port = proxy.port
+        self.store.put(f"servers/{name}", endpoint.announcement())
+        return endpoint
+
+    def publish(self, version: int, routes: list[RouteSpec] | None = None) -> None:
+        """Publish a configuration."""
+        published = make_published(version, routes or ROUTES, {KEY: "clinic"})
+        self.store.put("op/config", published)
+
+    def _settings(self, name: str, ports: dict[str, int], seeds: list[int]) -> Path:
+        path = self._folder / f"{name}.toml"
+        proxy = self.proxies.get(name)
+        store_port = proxy.port if proxy is not None else self.store.port
+        seed_texts = json.dumps([f"{HOST}:{port}" for port in seeds])
+        path.write_text(
+            f'node-name = "{name}"\nip = "{HOST}"\nzone = "a"\nregion = "r"\n'
+            f"internal-port-range = [{ports['udp']}, {ports['udp']}]\n"
+            f"seeds = {seed_texts}\n"
+            f'[listen]\nfront = "{HOST}:{ports["front"]}"\n'
+            f'ready = "{HOST}:{ports["ready"]}"\n'
+            f'control = "{HOST}:{ports["control"]}"\n'
+            f'[provider]\naddress = "{HOST}:{store_port}"\n'
+            "[bounds]\ngrace-s = 6\n"
+        )
+        return path
+
+    async def start(
+        self, name: str = "g1", seeds: list[int] | None = None, *, wait: bool = True
+    ) -> None:
+        """Start a gateway; one that ran before gets its ports again."""
+        ports = self.ports.get(name) or {
+            kind: free_port() for kind in ("front", "ready", "control", "udp")
+        }
+        path = self._settings(name, ports, seeds or [])
+        log = (self._folder / f"{name}.log").open("ab")
+        self.processes[name] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "shallotroad.gateway.main",
+            env={**os.environ, "SHALLOTROAD_CONFIG": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+        self.ports[name] = ports
+        if wait:
+            await self.wait_ready(name)
+
+    async def ready(self, name: str = "g1") -> bool:
+        """Tell whether a gateway says that it is ready."""
+        url = f"http://{HOST}:{self.ports[name]['ready']}/api/readyz"
+        try:
+            async with aiohttp.ClientSession() as session, session.get(url) as answer:
+                return answer.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def wait_ready(self, name: str) -> None:
+        """Wait until a gateway is ready."""
+        async with asyncio.timeout(10):
+            while not await self.ready(name):
+                await asyncio.sleep(0.05)
+
+    def log(self, name: str = "g1") -> list[dict[str, Any]]:
+        """Return the lines that a gateway has logged."""
+        text = (self._folder / f"{name}.log").read_text()
+        return [json.loads(line) for line in text.splitlines() if line[:1] == "{"]
+
+    async def dump(self, name: str = "g1") -> dict[str, Any]:
+        """Return the dump of a gateway."""
+        url = f"http://{HOST}:{self.ports[name]['ready']}/debug/dump"
+        async with aiohttp.ClientSession() as session, session.get(url) as answer:
+            dump: dict[str, Any] = await answer.json()
+            return dump
+
+    async def ask(
+        self,
+        path: str,
+        request_id: str,
+        *,
+        body: bytes = b"",
+        name: str = "g1",
+        more: Mapping[str, str] | None = None,
+        **headers: str,
+    ) -> Reply:
+        """Send one request and return what came back."""
+        url = f"http://{HOST}:{self.ports[name]['front']}{path}"
+        sent = {**HEADERS, "X-Request-Id": request_id, "X-Deadline-Ms": "3000"}
+        method = "GET" if path.startswith("/stock/") else "POST"
+        got = b""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(
+                method, url, data=body, headers=sent | dict(more or {}) | headers
+            ) as answer,
+        ):
+            try:
+                async for piece in answer.content.iter_any():
+                    got += piece
+                whole = True
+            except aiohttp.ClientError:
+                whole = False
+            return Reply(answer.status, got, whole, dict(answer.headers))
+
+    async def close(self) -> None:
+        """End all processes and stand-ins."""
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+        for proxy in self.proxies.values():
+            await proxy.close()
+        for endpoint in self.endpoints.values():
+            await endpoint.close()
+        await self.store.close()
--- a/devtools/machine_standins.py
+++ b/devtools/machine_standins.py
@@ -21,6 +21,9 @@
 
 HOST = "127.0.0.1"
 EVENT_PAUSE_S = 0.05
+ENGINE_SERVICE = "model"
+ENGINE = {"slots": 8, "kv-tokens": 100_000, "stride": 1, "most": 4}
+CACHE_PATH = "/api/kv-list"
 
 
 class StoreStandin:
@@ -121,7 +124,10 @@
         self.mode = mode
         self.events = 6
         self.seen: list[Seen] = []
+        self.ran: list[str] = []
+        self.cached: list[tuple[str, int]] = []
         self.cancelled = 0
+        self.announced_port = 0
         self.port = 0
         self._server: asyncio.Server | None = None
 
@@ -139,7 +145,7 @@
         """Return what the endpoint writes to the store."""
         return {
             "service": self.service,
-            "address": f"{HOST}:{self.port}",
+            "address": f"{HOST}:{self.announced_port or self.port}",
             "zone": "a",
             "version": "v1",
             "slots": 8,
@@ -162,6 +168,9 @@
                     for name, _, value in (line.partition(":") for line in lines)
                 }
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
+                if first.split(" ")[1] == CACHE_PATH:
+                    writer.write(self._cache_list())
+                    continue
                 request_id = headers.get("x-request-id", "")
                 seen = Seen(request_id, first.split(" ")[1], headers, body)
                 self.seen.append(seen)
@@ -173,6 +182,11 @@
         finally:
             writer.close()
 
+    def _cache_list(self) -> bytes:
+        held = [["", name, tokens, "m"] for name, tokens in self.cached]
+        body = json.dumps({"epoch": 1, "next": 1, "held": held}).encode()
+        return f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
     def _head(self, seen: Seen, status: str, extra: str) -> bytes:
         text = f"HTTP/1.1 {status}\r\nX-Request-Id: {seen.request_id}\r\n{extra}\r\n"
         return text.encode()
@@ -188,6 +202,7 @@
             extra = "X-Not-Executed: 1\r\nContent-Length: 0\r\n"
             writer.write(self._head(seen, "503 Unavailable", extra))
             return True
+        self.ran.append(seen.request_id)
         if self.mode == "reset":
             return False
         if self.mode == "mute":
@@ -268,7 +283,12 @@
             for number, route in enumerate(routes)
         ],
         "services": [
-            {"name": name, "health-path": "/healthz", "max-connections": 50}
+            {
+                "name": name,
+                "health-path": "/healthz",
+                "max-connections": 50,
+                "engine": ENGINE if name == ENGINE_SERVICE else None,
+            }
             for name in sorted({route.service for route in routes})
         ],
         "limits": {"max-header-bytes": 16384, "max-body-bytes": 65536},
--- /dev/null
+++ b/devtools/soak.py
@@ -0,0 +1,237 @@
+"""A randomized soak: real gateways under overlapping faults.
+
+Promises are checked from what callers and endpoints see. Half of a run plays
+planned work only, where no request may be cut; the other half adds the rest.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+import aiohttp
+import click
+
+from devtools.gateway_bench import HEADERS
+from devtools.gateway_bench import GatewayBench
+from devtools.machine_standins import HOST
+from devtools.soak_faults import PLANNED
+from devtools.soak_faults import UNPLANNED
+from devtools.soak_faults import Stage
+from devtools.soak_faults import Violation
+
+
+GATEWAYS = ("g1", "g2", "g3")
+ENDPOINTS = {"m1": "model", "m2": "model", "m3": "model", "s1": "shop", "s2": "shop"}
+RUN_S = 12.0
+RECOVERY_S = 5.0
+CALLERS = 9
+PATHS = ("/book/1", "/stock/1", "/chat/1", "/notes/1")
+ONCE = ("/book/1", "/chat/1")
+STREAMS = ("/chat/1", "/notes/1")
+EVENTS = 6
+DEADLINE_MS = 3000
+LONGEST_ANSWER_S = DEADLINE_MS / 1000 + 1.0
+PROMISED_NOT_RUN = (408, 421, 429, 503)
+
+
+class Call(NamedTuple):
+    """One request as its caller saw it; ``status`` 0 means no answer at all."""
+
+    request_id: str
+    path: str
+    status: int
+    body: bytes
+    whole: bool
+    signed: bool
+    begun_s: float
+    ended_s: float
+
+
+async def _call(
+    session: aiohttp.ClientSession, port: int, path: str, name: str
+) -> Call:
+    headers = {
+        **HEADERS,
+        "X-Request-Id": name,
+        "X-Deadline-Ms": str(DEADLINE_MS),
+        "X-Token-Usage": "900,50",
+        "X-Prompt-Prefix": f"aa:800,{name}:100",
+    }
+    method = "GET" if path.startswith("/stock/") else "POST"
+    begun_s = time.monotonic()
+    status, body, whole, signed = 0, b"", False, False
+    try:
+        url = f"http://{HOST}:{port}{path}"
+        async with session.request(method, url, headers=headers, data=b"") as answer:
+            status = answer.status
+            signed = "X-Replica-Signature" in answer.headers
+            async for piece in answer.content.iter_any():
+                body += piece
+            whole = True
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        pass  # what the caller saw until then is what counts
+    return Call(name, path, status, body, whole, signed, begun_s, time.monotonic())
+
+
+async def _caller(
+    stage: Stage, rng: random.Random, label: str, last_s: float, calls: list[Call]
+) -> None:
+    """Send one request after the other, on kept connections while they last."""
+    timeout = aiohttp.ClientTimeout(total=LONGEST_ANSWER_S)
+    gateway = rng.choice(GATEWAYS)
+    number = 0
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        while time.monotonic() < last_s:
+            number += 1
+            port = stage.bench.ports[gateway]["front"]
+            name = f"{label}x{number}"
+            call = await _call(session, port, rng.choice(PATHS), name)
+            calls.append(call)
+            if call.status in (0, *PROMISED_NOT_RUN):
+                gateway = rng.choice(GATEWAYS)
+            await asyncio.sleep(rng.uniform(0.0, 0.1))
+
+
+async def _play(stage: Stage, rng: random.Random, last_s: float) -> None:
+    half_s = (time.monotonic() + last_s) / 2
+    async with asyncio.TaskGroup() as group:
+        while time.monotonic() < last_s:
+            plays = PLANNED if time.monotonic() < half_s else (*PLANNED, *UNPLANNED)
+            for _ in range(rng.choice((1, 1, 2, 3))):
+                play = rng.choice(plays)
+                click.echo(f"  {play.__name__}")
+                group.create_task(play(stage, rng))  # type: ignore[arg-type]
+            await asyncio.sleep(rng.uniform(0.3, 1.5))
+
+
+async def _watch_versions(stage: Stage) -> None:
+    """Look whether a process ever goes back to an older configuration."""
+    highest: dict[tuple[str, int], int] = {}
+    while True:
+        for name, process in list(stage.bench.processes.items()):
+            try:
+                async with asyncio.timeout(0.5):
+                    version = (await stage.bench.dump(name))["version"] or 0
+            except (aiohttp.ClientError, TimeoutError, ValueError):
+                continue
+            key = (name, process.pid)
+            if version < highest.get(key, 0):
+                detail = f"{name} went from {highest[key]} to {version}"
+                stage.found.append(Violation("configuration never reverts", detail))
+            highest[key] = max(version, highest.get(key, 0))
+        await asyncio.sleep(0.1)
+
+
+def _events(request_id: str) -> bytes:
+    return b"".join(
+        f"id: {n}\ndata: {request_id}-{n}\n\n".encode() for n in range(1, EVENTS + 1)
+    )
+
+
+def _check_call(stage: Stage, call: Call, runs: int) -> list[Violation]:
+    found = []
+    label = f"{call.request_id} {call.path} status {call.status}"
+    if call.status == 200:
+        events = _events(call.request_id)
+        plain = call.body.endswith(f" {call.request_id}".encode())
+        if call.whole:
+            right = call.body == events or plain
+        else:
+            right = call.path not in STREAMS or events.startswith(call.body)
+        if not right or not call.signed:
+            found.append(Violation("whole answer to its own request", label))
+    if call.path in ONCE and runs > 1:
+        found.append(Violation("at most once", f"{label} ran {runs} times"))
+    if call.path in ONCE and call.status in PROMISED_NOT_RUN and runs:
+        found.append(Violation("told not run", f"{label} ran {runs} times"))
+    cut = not call.whole or call.status in (502, 504)
+    if cut and runs and stage.calm(call.begun_s, call.ended_s):
+        found.append(Violation("planned work cuts nothing", label))
+    return found
+
+
+async def _recovers(stage: Stage, seed: int) -> list[Violation]:
+    """Look whether each gateway serves each kind again."""
+    found = []
+    async with aiohttp.ClientSession() as session:
+        for gateway in GATEWAYS:
+            for path in PATHS:
+                port = stage.bench.ports[gateway]["front"]
+                call = await _call(session, port, path, f"r{seed}{gateway}{path[1]}")
+                if call.status != 200 or not call.whole:
+                    detail = f"{gateway} {path} status {call.status}"
+                    found.append(Violation("recovers", detail))
+    return found
+
+
+async def soak(seed: int, folder: Path, *, run_s: float = RUN_S) -> list[Violation]:
+    """Play one seed; return the promises that were broken."""
+    rng = random.Random(seed)
+    bench = GatewayBench(folder)
+    stage = Stage(bench=bench)
+    await bench.store.start()
+    bench.publish(stage.version)
+    calls: list[Call] = []
+    try:
+        for name, service in ENDPOINTS.items():
+            mode = "stream" if service == "model" else "ok"
+            await bench.add_endpoint(name, service, mode, proxied=True)
+        for name in GATEWAYS:
+            await bench.add_proxy(name, bench.store.port)
+            seeds = [bench.ports[other]["control"] for other in bench.ports]
+            await bench.start(name, seeds)
+        await asyncio.sleep(1.0)
+        watch = asyncio.create_task(_watch_versions(stage))
+        last_s = time.monotonic() + run_s
+        async with asyncio.TaskGroup() as group:
+            group.create_task(_play(stage, rng, last_s))
+            for number in range(CALLERS):
+                own = random.Random(f"{seed}:{number}")
+                label = f"{seed}x{number}"
+                group.create_task(_caller(stage, own, label, last_s, calls))
+        for name in GATEWAYS:
+            await bench.wait_ready(name)
+        await asyncio.sleep(RECOVERY_S)
+        stage.found += await _recovers(stage, seed)
+        watch.cancel()
+    finally:
+        await bench.close()
+    ran = [name for endpoint in bench.endpoints.values() for name in endpoint.ran]
+    for call in calls:
+        stage.found += _check_call(stage, call, ran.count(call.request_id))
+    served = sum(call.status == 200 and call.whole for call in calls)
+    click.echo(f"seed {seed}: {len(calls)} calls, {served} served whole")
+    return stage.found
+
+
+@click.command()
+@click.option("--seed", "seeds", type=int, multiple=True, help="Seeds to play.")
+@click.option("--fresh", type=int, default=0, help="Number of fresh seeds.")
+@click.option("--keep", type=click.Path(path_type=Path), help="Where logs stay.")
+def main(seeds: tuple[int, ...], fresh: int, keep: Path | None) -> None:
+    """Play seeds and exit 1 if a promise was broken."""
+    drawn = [random.SystemRandom().randrange(1_000_000) for _ in range(fresh)]
+    broken = 0
+    for seed in (*seeds, *drawn):
+        click.echo(f"seed {seed}")
+        folder = (keep or Path(tempfile.mkdtemp())) / str(seed)
+        folder.mkdir(parents=True, exist_ok=True)
+        found = asyncio.run(soak(seed, folder))
+        for violation in found:
+            click.echo(f"BROKEN {violation.promise}: {violation.detail}")
+        broken += bool(found)
+        click.echo(
+            f"seed {seed}: {'broken, logs in ' + str(folder) if found else 'held'}"
+        )
+    click.echo(f"{len(seeds) + fresh - broken} held, {broken} broken")
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/shallotroad/gateway/exports.py
+++ b/src/shallotroad/gateway/exports.py
@@ -39,6 +39,14 @@
         },
         "closed_data_centres": sorted(parts.catalogue.closed),
         "live_entries": parts.membership.live(now_s),
+        "coordinators": {
+            name: parts.membership.coordinators(name, now_s)[:2]
+            for name, service in (
+                configuration.services if configuration else {}
+            ).items()
+            if service.engine is not None
+        },
+        "granted_to_others": parts.coordinator.granted,
         "waiting": parts.admission.waiting,
         "open_requests": parts.door.open_requests,
         "stopping": parts.door.closing,
--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -46,7 +46,8 @@
 BACKLOG = 1_024
 LINGER_S = 2.6  # the balancer sends new connections until it has missed two checks
 RESTART_S = 0.5  # before a failed background job begins again
-EXIT_RESERVE_S = 0.3  # of the grace period
+EXIT_RESERVE_S = 0.5  # of the grace period
+CLOSE_S = 0.05  # for connections whose answers have been sent
 
 
 class Parts(NamedTuple):
@@ -209,8 +210,7 @@
     await _drain(parts, servers[0][0])
     for _, listener in servers:
         listener.close()
-    for server, _ in servers:
-        await server.shutdown(0.05)
+    await asyncio.gather(*(server.shutdown(CLOSE_S) for server, _ in servers))
     decided("stopped")
     for task in background:
         task.cancel()
--- a/src/shallotroad/gateway/main.py
+++ b/src/shallotroad/gateway/main.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import sys
 from typing import TYPE_CHECKING
@@ -52,10 +53,15 @@
 
 
 def main() -> None:
-    """Run until told to stop."""
+    """Run until told to stop.
+
+    The process ends without the interpreter's own teardown, which takes long
+    on a busy machine and would eat into the grace period.
+    """
     import uvloop
 
     from shallotroad.observability.decisions import BUFFER
+    from shallotroad.observability.decisions import MOST_LINES
     from shallotroad.platform.exceptions import SettingsError
 
     try:
@@ -64,7 +70,8 @@
         sys.stderr.write(f"settings: {error}\n")
         sys.exit(2)
     finally:
-        BUFFER.flush()
+        BUFFER.flush(MOST_LINES)
+    os._exit(0)
 
 
 if __name__ == "__main__":
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import os
 import signal
 import subprocess
@@ -11,153 +10,22 @@
 from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
-from typing import Any
-from typing import NamedTuple
 
-import aiohttp
 import pytest
+from devtools.gateway_bench import HEADERS
+from devtools.gateway_bench import GatewayBench
 from devtools.machine_standins import HOST
-from devtools.machine_standins import EndpointStandin
 from devtools.machine_standins import RouteSpec
-from devtools.machine_standins import StoreStandin
-from devtools.machine_standins import make_published
 from devtools.machine_standins import until
-from devtools.processes import free_port
 
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-KEY = "k1"
-HEADERS = {"Host": "clinic.example", "Authorization": f"Token {KEY}"}
-ROUTES = [
-    RouteSpec("/book/", "unsafe", "shop", attempts=1),
-    RouteSpec("/stock/", "safe", "shop"),
-    RouteSpec("/chat/", "streaming", "model", attempts=1),
-    RouteSpec("/notes/", "streaming", "model", resumable=True),
-]
-
-
-class Reply(NamedTuple):
-    """What a caller got."""
-
-    status: int
-    body: bytes
-    whole: bool
-    headers: dict[str, str]
-
-
-class Bench:
-    """The stand-ins and the gateway processes of one test."""
-
-    def __init__(self, folder: Path) -> None:
-        self._folder = folder
-        self.store = StoreStandin()
-        self.endpoints: dict[str, EndpointStandin] = {}
-        self.processes: dict[str, asyncio.subprocess.Process] = {}
-        self.ports: dict[str, dict[str, int]] = {}
-        self._number = 0
-
-    async def add_endpoint(self, name: str, service: str, mode: str) -> EndpointStandin:
-        endpoint = EndpointStandin(name=name, service=service, mode=mode)
-        await endpoint.start()
-        self.endpoints[name] = endpoint
-        self.store.put(f"servers/{name}", endpoint.announcement())
-        return endpoint
-
-    def publish(self, version: int, routes: list[RouteSpec] | None = None) -> None:
-        published = make_published(version, routes or ROUTES, {KEY: "clinic"})
-        self.store.put("op/config", published)
-
-    def _settings(self, name: str, ports: dict[str, int], seeds: list[int]) -> Path:
-        path = self._folder / f"{name}.toml"
-        seed_texts = json.dumps([f"{HOST}:{port}" for port in seeds])
-        path.write_text(
-            f'node-name = "{name}"\nip = "{HOST}"\nzone = "a"\nregion = "r"\n'
-            f"internal-port-range = [{ports['udp']}, {ports['udp']}]\n"
-            f"seeds = {seed_texts}\n"
-            f'[listen]\nfront = "{HOST}:{ports["front"]}"\n'
-            f'ready = "{HOST}:{ports["ready"]}"\n'
-            f'control = "{HOST}:{ports["control"]}"\n'
-            f'[provider]\naddress = "{HOST}:{self.store.port}"\n'
-            "[bounds]\ngrace-s = 6\n"
-        )
-        return path
-
-    async def start(
-        self, name: str = "g1", seeds: list[int] | None = None, *, wait: bool = True
-    ) -> None:
-        ports = {kind: free_port() for kind in ("front", "ready", "control", "udp")}
-        path = self._settings(name, ports, seeds or [])
-        log = (self._folder / f"{name}.log").open("ab")
-        self.processes[name] = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "shallotroad.gateway.main",
-            env={**os.environ, "SHALLOTROAD_CONFIG": str(path)},
-            stdout=log,
-            stderr=log,
-        )
-        log.close()
-        self.ports[name] = ports
-        if wait:
-            await self.wait_ready(name)
-
-    async def ready(self, name: str = "g1") -> bool:
-        url = f"http://{HOST}:{self.ports[name]['ready']}/api/readyz"
-        try:
-            async with aiohttp.ClientSession() as session, session.get(url) as answer:
-                return answer.status == 200
-        except aiohttp.ClientError:
-            return False
-
-    async def wait_ready(self, name: str) -> None:
-        async with asyncio.timeout(10):
-            while not await self.ready(name):
-                await asyncio.sleep(0.05)
-
-    def log(self, name: str = "g1") -> list[dict[str, Any]]:
-        text = (self._folder / f"{name}.log").read_text()
-        return [json.loads(line) for line in text.splitlines() if line[:1] == "{"]
-
-    async def ask(
-        self,
-        path: str,
-        request_id: str,
-        *,
-        body: bytes = b"",
-        name: str = "g1",
-        **headers: str,
-    ) -> Reply:
-        url = f"http://{HOST}:{self.ports[name]['front']}{path}"
-        sent = {**HEADERS, "X-Request-Id": request_id, "X-Deadline-Ms": "3000"}
-        method = "GET" if path.startswith("/stock/") else "POST"
-        got = b""
-        async with (
-            aiohttp.ClientSession() as session,
-            session.request(method, url, data=body, headers=sent | headers) as answer,
-        ):
-            try:
-                async for piece in answer.content.iter_any():
-                    got += piece
-                whole = True
-            except aiohttp.ClientError:
-                whole = False
-            return Reply(answer.status, got, whole, dict(answer.headers))
-
-    async def close(self) -> None:
-        for process in self.processes.values():
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
-        for endpoint in self.endpoints.values():
-            await endpoint.close()
-        await self.store.close()
-
 
 @pytest.fixture
-async def bench(tmp_path: Path) -> AsyncIterator[Bench]:
-    made = Bench(tmp_path)
+async def bench(tmp_path: Path) -> AsyncIterator[GatewayBench]:
+    made = GatewayBench(tmp_path)
     await made.store.start()
     made.publish(1)
     yield made
@@ -176,7 +44,7 @@
     )
 
 
-async def test_each_kind_of_request_is_served_whole(bench: Bench) -> None:
+async def test_each_kind_of_request_is_served_whole(bench: GatewayBench) -> None:
     await bench.add_endpoint("s1", "shop", "ok")
     await bench.add_endpoint("m1", "model", "stream")
     await bench.start()
@@ -192,7 +60,7 @@
 
 
 async def test_a_request_that_may_have_run_once_is_never_sent_again(
-    bench: Bench,
+    bench: GatewayBench,
 ) -> None:
     for name in ("s1", "s2"):
         await bench.add_endpoint(name, "shop", "reset")
@@ -202,7 +70,9 @@
     assert sum(len(e.seen) for e in bench.endpoints.values()) == 1
 
 
-async def test_a_proven_refusal_is_sent_on_and_told_as_not_run(bench: Bench) -> None:
+async def test_a_proven_refusal_is_sent_on_and_told_as_not_run(
+    bench: GatewayBench,
+) -> None:
     await bench.add_endpoint("s1", "shop", "full")
     await bench.start()
     refused = await bench.ask("/book/1", "q1", body=b"slot")
@@ -214,7 +84,9 @@
     assert [reply.status for reply in replies] == [200, 200, 200]
 
 
-async def test_a_safe_request_is_repeated_after_an_unknown_end(bench: Bench) -> None:
+async def test_a_safe_request_is_repeated_after_an_unknown_end(
+    bench: GatewayBench,
+) -> None:
     await bench.add_endpoint("s1", "shop", "reset")
     await bench.add_endpoint("s2", "shop", "ok")
     await bench.start()
@@ -222,7 +94,7 @@
     assert {reply.status for reply in replies} == {200}
 
 
-async def test_a_late_second_answer_reaches_nobody(bench: Bench) -> None:
+async def test_a_late_second_answer_reaches_nobody(bench: GatewayBench) -> None:
     await bench.add_endpoint("s1", "shop", "late")
     await bench.start()
     for number in range(6):
@@ -231,14 +103,14 @@
         await asyncio.sleep(0.02 * number)
 
 
-async def test_an_unsigned_answer_is_no_success(bench: Bench) -> None:
+async def test_an_unsigned_answer_is_no_success(bench: GatewayBench) -> None:
     await bench.add_endpoint("s1", "shop", "unsigned")
     await bench.start()
     assert (await bench.ask("/book/1", "q1", body=b"x")).status == 502
 
 
 async def test_the_endpoints_own_failure_is_told_when_nothing_better_comes(
-    bench: Bench,
+    bench: GatewayBench,
 ) -> None:
     for name in ("s1", "s2"):
         await bench.add_endpoint(name, "shop", "error")
@@ -250,7 +122,7 @@
 
 
 async def test_an_endpoint_failure_is_told_when_the_repeat_is_lost(
-    bench: Bench,
+    bench: GatewayBench,
 ) -> None:
     await bench.add_endpoint("s1", "shop", "error")
     await bench.add_endpoint("s2", "shop", "reset")
@@ -260,7 +132,7 @@
 
 
 async def test_a_failure_in_place_of_the_rest_of_a_stream_is_no_answer(
-    bench: Bench,
+    bench: GatewayBench,
 ) -> None:
     for name in ("m1", "m2"):
         await bench.add_endpoint(name, "model", "cut")
@@ -275,7 +147,7 @@
     assert reply.body == events(2, "q1")
 
 
-async def test_half_a_stream_never_looks_complete(bench: Bench) -> None:
+async def test_half_a_stream_never_looks_complete(bench: GatewayBench) -> None:
     await bench.add_endpoint("m1", "model", "cut")
     await bench.start()
     reply = await bench.ask("/chat/1", "q1", body=b"hello")
@@ -283,7 +155,9 @@
     assert reply.body == events(2, "q1")
 
 
-async def test_a_resumable_stream_goes_on_at_another_endpoint(bench: Bench) -> None:
+async def test_a_resumable_stream_goes_on_at_another_endpoint(
+    bench: GatewayBench,
+) -> None:
     await bench.add_endpoint("m1", "model", "cut")
     await bench.add_endpoint("m2", "model", "cut")
     await bench.start()
@@ -297,7 +171,7 @@
     assert reply.body == events(6, "q1")
 
 
-async def test_a_caller_who_leaves_cancels_the_work(bench: Bench) -> None:
+async def test_a_caller_who_leaves_cancels_the_work(bench: GatewayBench) -> None:
     endpoint = await bench.add_endpoint("m1", "model", "stream")
     endpoint.events = 200
     await bench.start()
@@ -307,7 +181,7 @@
     await until(lambda: endpoint.cancelled > 0, timeout_s=1.0)
 
 
-async def test_sigterm_cuts_no_answer_and_ends_the_process(bench: Bench) -> None:
+async def test_sigterm_cuts_no_answer_and_ends_the_process(bench: GatewayBench) -> None:
     endpoint = await bench.add_endpoint("m1", "model", "stream")
     endpoint.events = 40
     await bench.start()
@@ -339,7 +213,9 @@
     subprocess.run([sys.executable, "-S", "-c", code], env=own_path(), check=True)
 
 
-async def test_sigterm_at_any_moment_of_the_start_ends_cleanly(bench: Bench) -> None:
+async def test_sigterm_at_any_moment_of_the_start_ends_cleanly(
+    bench: GatewayBench,
+) -> None:
     for number in range(8):
         name = f"g{number}"
         await bench.start(name, wait=False)
@@ -351,7 +227,7 @@
     assert codes == [0] * 8
 
 
-async def test_a_timeout_of_the_route_ends_with_an_answer(bench: Bench) -> None:
+async def test_a_timeout_of_the_route_ends_with_an_answer(bench: GatewayBench) -> None:
     await bench.add_endpoint("s1", "shop", "mute")
     bench.publish(2, [RouteSpec("/book/", "unsafe", "shop", 400, 1)])
     await bench.start()
@@ -362,7 +238,7 @@
 
 
 async def test_a_new_version_is_in_force_soon_and_an_old_one_never_again(
-    bench: Bench,
+    bench: GatewayBench,
 ) -> None:
     await bench.add_endpoint("s1", "shop", "ok")
     await bench.start()
@@ -377,7 +253,7 @@
 
 
 async def test_a_gateway_that_starts_without_the_store_learns_from_a_peer(
-    bench: Bench,
+    bench: GatewayBench,
 ) -> None:
     await bench.add_endpoint("s1", "shop", "ok")
     await bench.start("g1")
@@ -388,7 +264,7 @@
 
 
 async def test_without_any_configuration_the_answer_says_not_run(
-    bench: Bench,
+    bench: GatewayBench,
 ) -> None:
     bench.store.down = True
     await bench.start(wait=False)
@@ -398,7 +274,7 @@
 
 
 async def test_an_address_that_now_belongs_to_another_endpoint_runs_nothing(
-    bench: Bench,
+    bench: GatewayBench,
 ) -> None:
     endpoint = await bench.add_endpoint("s1", "shop", "ok")
     await bench.start()
@@ -408,7 +284,7 @@
 
 
 async def test_each_finished_request_has_one_line_with_its_inputs(
-    bench: Bench,
+    bench: GatewayBench,
 ) -> None:
     await bench.add_endpoint("s1", "shop", "ok")
     await bench.start()
@@ -424,7 +300,7 @@
 
 
 async def test_a_kept_connection_is_closed_while_other_answers_finish(
-    bench: Bench,
+    bench: GatewayBench,
 ) -> None:
     endpoint = await bench.add_endpoint("m1", "model", "stream")
     await bench.add_endpoint("s1", "shop", "ok")
@@ -433,7 +309,7 @@
     bench.publish(2, [patient, RouteSpec("/stock/", "safe", "shop")])
     await bench.start()
     stream = asyncio.create_task(
-        bench.ask("/chat/1", "q1", body=b"hello", **{"X-Deadline-Ms": "9000"})
+        bench.ask("/chat/1", "q1", body=b"hello", more={"X-Deadline-Ms": "9000"})
     )
     await until(lambda: bool(endpoint.seen))
     reader, writer = await asyncio.open_connection(HOST, bench.ports["g1"]["front"])
--- a/tests/unit/gateway/coordination/test_coordinator_lost.py
+++ b/tests/unit/gateway/coordination/test_coordinator_lost.py
@@ -150,3 +150,14 @@
         await task
     await asyncio.sleep(0.02)
     assert entries[0].desk.admission.waiting == 0
+
+
+async def test_an_entry_cut_off_from_most_takes_no_cold_endpoint_for_itself() -> None:
+    entries = make_entries(Network(), 5)
+    lone = entries[4]
+    assert lone.placer.cold_owners("chat") == ["g0"]
+    await asyncio.sleep(0)
+    for name in ("g0", "g1", "g2", "g3"):
+        member = lone.membership._members[name]
+        lone.membership._members[name] = member._replace(heard_s=-100.0)
+    assert len(lone.placer.cold_owners("chat")) == 5
--- a/tests/unit/gateway/test_membership.py
+++ b/tests/unit/gateway/test_membership.py
@@ -1,12 +1,17 @@
 from __future__ import annotations
 
 from shallotroad.gateway.membership import DEAD_S
+from shallotroad.gateway.membership import SEASONED_BEATS
 from shallotroad.gateway.membership import Membership
 from tests.gateway_builders import make_rng
 
 
-def make_member(name: str, seeds: tuple[str, ...] = ()) -> Membership:
-    return Membership(name=name, address=f"{name}:1", incarnation=1, seeds=seeds)
+def make_member(
+    name: str, seeds: tuple[str, ...] = (), *, cores: float = 1.0
+) -> Membership:
+    return Membership(
+        name=name, address=f"{name}:1", incarnation=1, seeds=seeds, cores=cores
+    )
 
 
 def test_all_find_each_other_through_one_seed_with_few_exchanges() -> None:
@@ -38,3 +43,49 @@
     one.merge(table, 0.0)
     one.merge(table, 10.0)
     assert one.live(10.0) == ["m1"]
+
+
+def meet(members: list[Membership], now_s: float) -> None:
+    for one in members:
+        for other in members:
+            one.merge(other.table(), now_s)
+
+
+def test_all_members_rank_the_coordinators_alike() -> None:
+    members = [make_member(f"m{n}") for n in range(9)]
+    meet(members, 0.0)
+    ranks = [member.coordinators("chat", 0.1) for member in members]
+    assert all(rank == ranks[0] for rank in ranks)
+    assert ranks[0] != members[0].coordinators("other", 0.1)
+
+
+def test_members_with_more_processor_coordinate() -> None:
+    members = [make_member(f"m{n}", cores=0.4) for n in range(9)]
+    members.append(make_member("big", cores=2.1))
+    meet(members, 0.0)
+    assert members[0].coordinators("chat", 0.1)[0] == "big"
+
+
+def test_a_member_that_has_just_started_does_not_coordinate() -> None:
+    old, new = make_member("old"), make_member("new", cores=2.0)
+    for _ in range(SEASONED_BEATS):
+        old.beat()
+    meet([old, new], 0.0)
+    assert old.coordinators("chat", 0.1) == ["old", "new"]
+    assert new.coordinators("chat", 0.1) == ["old", "new"]
+
+
+def test_dead_and_leaving_members_do_not_coordinate() -> None:
+    one, two, three = make_member("m1"), make_member("m2"), make_member("m3")
+    three.leave()
+    meet([one, two, three], 0.0)
+    assert set(one.coordinators("chat", 0.1)) == {"m1", "m2"}
+    assert one.coordinators("chat", DEAD_S + 0.1) == ["m1"]
+    assert three.coordinators("chat", DEAD_S + 0.1) == []
+
+
+def test_a_member_cut_off_from_most_others_is_no_majority() -> None:
+    members = [make_member(f"m{n}") for n in range(5)]
+    meet(members, 0.0)
+    assert members[0].majority(0.1)
+    assert not members[0].majority(DEAD_S + 0.1)
