Tell a coordinator that declines from one that is lost; bind disjoint regions

Cause, found on reading the change again: an answer "no endpoint" or "queue full" left a living coordinator out for 5 s, so that views split for nothing; and a route and a team whose regions share none allowed every region.

Change: only a coordinator that leaves or is silent is left out; any other refusal makes the entry decide for itself, with a line. Disjoint regions allow no endpoint.

--- a/src/shallotroad/gateway/coordination/coordinator.py
+++ b/src/shallotroad/gateway/coordination/coordinator.py
@@ -114,7 +114,7 @@
         elif number in entry.waiting:
             reply(Hold(number))
         elif self._leaving():
-            reply(Decline(number, "leaving"))
+            reply(Decline(number, "leaving", leaving=True))
         elif self._survey.pending(message.demand.service):
             self._deferred[message.sender, number] = (message, reply)
             reply(Hold(number))
@@ -134,7 +134,7 @@
                 message.demand, partial(self._grant, entry, number, reply)
             )
         except RefusedError as error:
-            reply(Decline(number, error.reason))
+            reply(Decline(number, error.reason, leaving=False))
             return
         if waiter is not None:
             entry.waiting[number] = waiter
--- a/src/shallotroad/gateway/coordination/exceptions.py
+++ b/src/shallotroad/gateway/coordination/exceptions.py
@@ -9,5 +9,9 @@
     """A coordinator does not answer, or does not coordinate any more."""
 
 
+class DeclinedError(ShallotroadError):
+    """A coordinator that lives does not place a request."""
+
+
 class MalformedMessageError(ShallotroadError):
     """A datagram is no message of this protocol."""
--- a/src/shallotroad/gateway/coordination/messages.py
+++ b/src/shallotroad/gateway/coordination/messages.py
@@ -58,10 +58,11 @@
 
 
 class Decline(NamedTuple):
-    """A coordinator does not place the question."""
+    """A coordinator does not place the question; one that leaves, no other."""
 
     number: int
     reason: str
+    leaving: bool
 
 
 class Started(NamedTuple):
--- a/src/shallotroad/gateway/coordination/placer.py
+++ b/src/shallotroad/gateway/coordination/placer.py
@@ -12,6 +12,7 @@
 
 from shallotroad.gateway.cache_survey import WAIT_S
 from shallotroad.gateway.coordination.exceptions import CoordinatorLostError
+from shallotroad.gateway.coordination.exceptions import DeclinedError
 from shallotroad.gateway.coordination.messages import Ask
 from shallotroad.gateway.coordination.messages import Decline
 from shallotroad.gateway.coordination.messages import Ended
@@ -121,6 +122,14 @@
                 break
             try:
                 return await self._ask(name, job)
+            except DeclinedError as error:
+                decided(
+                    "placement declined",
+                    coordinator=name,
+                    request=job.request.request_id,
+                    why=str(error),
+                )
+                break
             except CoordinatorLostError as error:
                 self._suspects[name] = self._clock() + SUSPECT_S
                 decided(
@@ -182,7 +191,7 @@
                 return self._take(job, demand, grant, coordinator)
             refused.add(grant.endpoint)
             self._send(coordinator, Ended(self._sender, number, False, 0.0))
-        raise CoordinatorLostError("it grants endpoints that can't be used")
+        raise DeclinedError("it grants endpoints that can't be used")
 
     def _take(
         self, job: Job, demand: Demand, grant: Grant, coordinator: str
@@ -255,7 +264,8 @@
         if isinstance(message, Grant):
             question.answer.set_result(message)
         elif isinstance(message, Decline):
-            question.answer.set_exception(CoordinatorLostError(message.reason))
+            kind = CoordinatorLostError if message.leaving else DeclinedError
+            question.answer.set_exception(kind(message.reason))
 
     # Open work
 
--- a/src/shallotroad/gateway/job.py
+++ b/src/shallotroad/gateway/job.py
@@ -23,6 +23,8 @@
 SILENT_PAUSES = 8.0  # and so many of the route's longest pauses
 WAIT_SHARE = 0.8  # of that silence; the rest is for the prompt
 
+NOWHERE = frozenset({""})  # regions of a route and a team that share none
+
 
 class Job:
     """A request with its route, team and times; all times are monotonic."""
@@ -105,7 +107,8 @@
         """
         regions = self.route.regions
         if self.team is not None and self.team.regions:
-            regions = regions & self.team.regions if regions else self.team.regions
+            both = regions & self.team.regions or NOWHERE
+            regions = both if regions else self.team.regions
         return Demand(
             service=self.service.name,
             placing=self.placing,
--- a/tests/unit/gateway/coordination/test_coordinator_lost.py
+++ b/tests/unit/gateway/coordination/test_coordinator_lost.py
@@ -12,6 +12,7 @@
 from tests.coordination_builders import make_entries
 from tests.gateway_builders import make_gateway_job
 from tests.gateway_builders import make_guide_job
+from tests.gateway_builders import make_record
 
 
 def counted(entry: Entry) -> int:
@@ -53,6 +54,20 @@
     assert entries[1].coordinator.granted == 1
 
 
+async def test_a_coordinator_that_declines_once_is_asked_again() -> None:
+    entries = make_entries(Network(), 4)
+    clock = entries[3].desk.clock
+    known = entries[0].desk.catalogue
+    for name in list(known.endpoints):
+        known.drop_endpoint(name, gone_s=0.0, now_s=clock())
+    await entries[3].placer.place(make_gateway_job(now_s=clock()))
+    assert counted(entries[3]) == 1  # decided by itself
+    for number in range(6):
+        known.put_endpoint(make_record(f"e{number}", port=9000 + number))
+    await entries[3].placer.place(make_gateway_job(now_s=clock()))
+    assert entries[0].coordinator.granted == 1
+
+
 async def test_a_successor_learns_the_open_work_from_reports() -> None:
     entries = make_entries(Network(), 4)
     clock = entries[3].desk.clock
@@ -93,39 +108,25 @@
     assert counted(entries[0]) == 0
 
 
-async def test_a_lost_question_is_asked_again() -> None:
+@pytest.mark.parametrize("kind", [b'["ask"', b'["grant"'])
+async def test_a_question_outlives_a_lost_datagram_and_is_counted_once(
+    kind: bytes,
+) -> None:
     network = Network()
     entries = make_entries(network, 3)
-    clock = entries[2].desk.clock
     lost: list[bytes] = []
 
-    def first_ask(data: bytes) -> bool:
-        if data.startswith(b'["ask"') and not lost:
+    def first_of_its_kind(data: bytes) -> bool:
+        if data.startswith(kind) and not lost:
             lost.append(data)
             return True
         return False
 
-    network.lose = first_ask
-    await entries[2].placer.place(make_gateway_job(now_s=clock()))
+    network.lose = first_of_its_kind
+    job = make_gateway_job(now_s=entries[2].desk.clock())
+    await entries[2].placer.place(job)
     assert lost
     assert entries[0].coordinator.granted == 1
-
-
-async def test_a_lost_grant_is_told_again_and_counted_once() -> None:
-    network = Network()
-    entries = make_entries(network, 3)
-    clock = entries[2].desk.clock
-    lost: list[bytes] = []
-
-    def first_grant(data: bytes) -> bool:
-        if data.startswith(b'["grant"') and not lost:
-            lost.append(data)
-            return True
-        return False
-
-    network.lose = first_grant
-    await entries[2].placer.place(make_gateway_job(now_s=clock()))
-    assert lost
     assert counted(entries[0]) == 1
 
 
--- a/tests/unit/gateway/coordination/test_messages.py
+++ b/tests/unit/gateway/coordination/test_messages.py
@@ -28,7 +28,7 @@
     [
         Grant(3, "e1", 1.5, 2.0, 3.0, 40, True),
         Hold(3),
-        Decline(3, "leaving"),
+        Decline(3, "leaving", True),
         Started(SENDER, 3, 120),
         Ended(SENDER, 3, False, 0.5),
         Report(SENDER, (OpenWork(1, "e1", 2.0, 0, True),), (7, 8)),
