Signal only a gateway that has its handlers; read its exit code once

The soak marks a process as taken only until it has been spawned. A reload that came next sent SIGHUP before the interpreter had installed a handler, which ends the process; the second reload found it dead. Shown with the old code by a reload right after a start: exit code -1, then the same error.

Ruled out: a gateway that ends by itself; each process handles SIGHUP from the first line of the program on (test_the_handlers_stand_before_...).

Change: signals go through a pidfd; the soak asks the kernel which signals a process handles instead of waiting one second, which is stricter for SIGTERM: code 0 is required from the handler on. A gateway that has ended with no fault is a violation of its own (stays up) instead of a traceback.

Before: test_a_reload_right_after_a_start_... fails on the old code as above.

Conclusion: the product was not at fault; the check is stricter than before.

--- a/devtools/gateway_bench.py
+++ b/devtools/gateway_bench.py
@@ -5,8 +5,9 @@
 import asyncio
 import json
 import os
+import signal
 import sys
-import time
+from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -24,7 +25,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
-    from pathlib import Path
 
 KEY = "k1"
 HEADERS = {"Host": "clinic.example", "Authorization": f"Token {KEY}"}
@@ -55,7 +55,7 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.ports: dict[str, dict[str, int]] = {}
         self.proxies: dict[str, FaultProxy] = {}
-        self.started_s: dict[str, float] = {}
+        self._handles: dict[str, int] = {}
 
     async def add_proxy(self, name: str, port: int) -> FaultProxy:
         """Put a fault proxy in front of a port."""
@@ -117,11 +117,37 @@
             stderr=log,
         )
         log.close()
-        self.started_s[name] = time.monotonic()
+        self._close_handle(name)
+        self._handles[name] = os.pidfd_open(self.processes[name].pid)
         self.ports[name] = ports
         if wait:
             await self.wait_ready(name)
 
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a gateway that may have ended.
+
+        ``Process.send_signal`` would collect the exit code in place of the event
+        loop, which then reports 255.
+        """
+        try:
+            signal.pidfd_send_signal(self._handles[name], number)
+        except ProcessLookupError:
+            return  # its exit code tells the rest
+
+    def handles_signal(self, name: str, number: signal.Signals) -> bool:
+        """Tell whether a gateway runs and has a handler for a signal."""
+        try:
+            status = Path(f"/proc/{self.processes[name].pid}/status").read_text()
+        except OSError:
+            return False
+        fields = dict(line.split(":\t", 1) for line in status.splitlines())
+        return bool(int(fields["SigCgt"], 16) >> (number - 1) & 1)
+
+    def _close_handle(self, name: str) -> None:
+        handle = self._handles.pop(name, None)
+        if handle is not None:
+            os.close(handle)
+
     async def ready(self, name: str = "g1") -> bool:
         """Tell whether a gateway says that it is ready."""
         url = f"http://{HOST}:{self.ports[name]['ready']}/api/readyz"
@@ -180,10 +206,10 @@
 
     async def close(self) -> None:
         """End all processes and stand-ins."""
-        for process in self.processes.values():
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
+        for name, process in self.processes.items():
+            self.send_signal(name, signal.SIGKILL)
+            await process.wait()
+            self._close_handle(name)
         for proxy in self.proxies.values():
             await proxy.close()
         for endpoint in self.endpoints.values():
--- a/devtools/soak_faults.py
+++ b/devtools/soak_faults.py
@@ -25,7 +25,6 @@
 GRACE_S = 6.0  # of the stand-in settings
 SETTLE_S = 4.0  # after an unplanned fault, until its effects must be over
 LONGEST_FAULT_S = 2.0
-HANDLERS_S = 1.0  # after a start on a busy machine; nothing is held before that
 MODES = ("reset", "cut", "full", "late", "unsigned", "error", "mute")
 PROXY_FAULTS = (Fault.SILENT, Fault.LOSE_REQUESTS, Fault.LOSE_ANSWERS)
 
@@ -62,6 +61,11 @@
         """Return whether no unplanned fault touched a span of time."""
         return all(end <= begun_s or start >= ended_s for start, end in self.unplanned)
 
+    def note_if_ended(self, name: str) -> None:
+        """Note a gateway that has ended though no fault ended it."""
+        if self.bench.processes[name].returncode is not None:
+            self.found.append(Violation("stays up", f"{name} has ended"))
+
     @asynccontextmanager
     async def holding(self, name: str) -> AsyncIterator[bool]:
         """Keep other faults off one process or stand-in; False if it is taken."""
@@ -81,11 +85,11 @@
     async with stage.holding(name) as free:
         if not free:
             return
-        process = stage.bench.processes[name]
+        stage.note_if_ended(name)
         async with stage.disturbed():
-            process.send_signal(signal.SIGSTOP)
+            stage.bench.send_signal(name, signal.SIGSTOP)
             await asyncio.sleep(rng.uniform(0.2, LONGEST_FAULT_S))
-            process.send_signal(signal.SIGCONT)
+            stage.bench.send_signal(name, signal.SIGCONT)
 
 
 async def kill_gateway(stage: Stage, rng: Random) -> None:
@@ -94,10 +98,10 @@
     async with stage.holding(name) as free:
         if not free:
             return
+        stage.note_if_ended(name)
         async with stage.disturbed():
-            process = stage.bench.processes[name]
-            process.kill()
-            await process.wait()
+            stage.bench.send_signal(name, signal.SIGKILL)
+            await stage.bench.processes[name].wait()
             await stage.bench.start(name, _seeds(stage.bench, name), wait=False)
 
 
@@ -107,21 +111,22 @@
     async with stage.holding(name) as free:
         if not free:
             return
+        stage.note_if_ended(name)
         process = stage.bench.processes[name]
-        up_s = time.monotonic() - stage.bench.started_s[name]
-        process.terminate()
+        # The interpreter needs a moment before the program can install handlers.
+        handled = stage.bench.handles_signal(name, signal.SIGTERM)
+        stage.bench.send_signal(name, signal.SIGTERM)
         if rng.random() < 0.3:
             await asyncio.sleep(0.1)
-            process.terminate()
+            stage.bench.send_signal(name, signal.SIGTERM)
         try:
             async with asyncio.timeout(GRACE_S):
                 code = await process.wait()
         except TimeoutError:
             stage.found.append(Violation("graceful shutdown", f"{name} still runs"))
-            process.kill()
+            stage.bench.send_signal(name, signal.SIGKILL)
             code = await process.wait()
-        # The interpreter needs a moment before the program can install handlers.
-        if code != 0 and up_s > HANDLERS_S:
+        if code != 0 and handled:
             stage.found.append(Violation("graceful shutdown", f"{name} code {code}"))
         await stage.bench.start(name, _seeds(stage.bench, name), wait=False)
 
@@ -133,8 +138,11 @@
 async def reload_gateway(stage: Stage, rng: Random) -> None:
     """Send SIGHUP."""
     name = rng.choice(sorted(stage.bench.processes))
-    if name not in stage.busy:  # a process that only starts has no handler yet
-        stage.bench.processes[name].send_signal(signal.SIGHUP)
+    if name in stage.busy:
+        return
+    stage.note_if_ended(name)
+    if stage.bench.handles_signal(name, signal.SIGHUP):
+        stage.bench.send_signal(name, signal.SIGHUP)
 
 
 async def publish(stage: Stage, rng: Random) -> None:
--- a/tests/processes/test_coordination.py
+++ b/tests/processes/test_coordination.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from typing import TYPE_CHECKING
 
 import pytest
@@ -67,7 +68,7 @@
         await bench.add_endpoint(name, "model", "stream")
     first, other = await start_pair(bench)
     assert (await bench.ask("/chat/1", "q0", name=other, more=headers("b0"))).whole
-    bench.processes[first].kill()
+    bench.send_signal(first, signal.SIGKILL)
     for number in range(1, 4):
         reply = await bench.ask(
             "/chat/1", f"q{number}", name=other, more=headers(f"b{number}")
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -187,7 +187,7 @@
     await bench.start()
     task = asyncio.create_task(bench.ask("/chat/1", "q1", body=b"hello"))
     await until(lambda: bool(endpoint.seen))
-    bench.processes["g1"].send_signal(signal.SIGTERM)
+    bench.send_signal("g1", signal.SIGTERM)
     await asyncio.sleep(0.2)
     assert not await bench.ready()
     again = await bench.ask("/chat/1", "q2", body=b"hello")
@@ -197,13 +197,6 @@
     assert await asyncio.wait_for(bench.processes["g1"].wait(), 8) == 0
 
 
-def catches_sigterm(pid: int) -> bool:
-    """Tell whether a process has a handler for SIGTERM, from its caught signals."""
-    status = Path(f"/proc/{pid}/status").read_text()
-    caught = next(x for x in status.splitlines() if x.startswith("SigCgt:"))
-    return bool(int(caught.split()[1], 16) >> (signal.SIGTERM - 1) & 1)
-
-
 def test_the_handlers_stand_before_anything_heavy_is_imported() -> None:
     code = (
         "import shallotroad.gateway.main, signal, sys\n"
@@ -219,10 +212,9 @@
     for number in range(8):
         name = f"g{number}"
         await bench.start(name, wait=False)
-        process = bench.processes[name]
-        await until(partial(catches_sigterm, process.pid), 10)
+        await until(partial(bench.handles_signal, name, signal.SIGTERM), 10)
         await asyncio.sleep(0.1 * number)
-        process.send_signal(signal.SIGTERM)
+        bench.send_signal(name, signal.SIGTERM)
     codes = [await asyncio.wait_for(p.wait(), 20) for p in bench.processes.values()]
     assert codes == [0] * 8
 
@@ -316,7 +308,7 @@
     head = "".join(f"{name}: {value}\r\n" for name, value in HEADERS.items())
     writer.write(f"GET /stock/1 HTTP/1.1\r\n{head}X-Request-Id: q2\r\n\r\n".encode())
     assert b"200" in await reader.readline()
-    bench.processes["g1"].send_signal(signal.SIGTERM)
+    bench.send_signal("g1", signal.SIGTERM)
     async with asyncio.timeout(4):
         while await reader.read(4096):
             pass
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
+import signal
+from functools import partial
 from typing import TYPE_CHECKING
 
 import pytest
+from devtools.gateway_bench import GatewayBench
+from devtools.machine_standins import until
 from devtools.soak import soak
+from devtools.soak_faults import Stage
+from devtools.soak_faults import reload_gateway
 
 
 if TYPE_CHECKING:
@@ -13,7 +21,8 @@
 
 FAILED_ONCE = {
     # The soak's own check did not know an endpoint's plain answer on a stream's
-    # route (17), nor its events on another route (8).
+    # route (17), nor its events on another route (8). Later 8 sent SIGHUP to a
+    # process whose interpreter had not yet begun, and then to the dead process.
     8: "whole answer to its own request",
     17: "whole answer to its own request",
     # A request ended late in the grace period; the interpreter's teardown took
@@ -29,3 +38,39 @@
     seed: int, tmp_path: Path
 ) -> None:
     assert await soak(seed, tmp_path) == []
+
+
+async def test_a_reload_right_after_a_start_ends_no_process(tmp_path: Path) -> None:
+    stage = Stage(bench=GatewayBench(tmp_path))
+    rng = random.Random(1)
+    await stage.bench.store.start()
+    try:
+        await stage.bench.start("g1", wait=False)
+        process = stage.bench.processes["g1"]
+        for _ in range(2):
+            await reload_gateway(stage, rng)
+            await asyncio.sleep(0.2)
+        assert process.returncode is None
+        assert stage.found == []
+        stage.bench.send_signal("g1", signal.SIGKILL)
+        await process.wait()
+        await reload_gateway(stage, rng)
+        assert [violation.promise for violation in stage.found] == ["stays up"]
+    finally:
+        await stage.bench.close()
+
+
+async def test_an_exit_code_is_that_of_the_process(tmp_path: Path) -> None:
+    stage = Stage(bench=GatewayBench(tmp_path))
+    await stage.bench.store.start()
+    try:
+        await stage.bench.start("g1", wait=False)
+        handled = partial(stage.bench.handles_signal, "g1", signal.SIGTERM)
+        await until(handled, 10)
+        process = stage.bench.processes["g1"]
+        while process.returncode is None:
+            stage.bench.send_signal("g1", signal.SIGTERM)
+            await asyncio.sleep(0.001)
+        assert process.returncode == 0
+    finally:
+        await stage.bench.close()
