Let a watch of the store wait two seconds again, whatever their number

Replayed with logs: the store drops its history (platform_compact) while watches wait, and tells them of no later change; they learn by the next watch's 410 only. With 27 gateways watches lasted 8 s, and all had begun with the same change, so none ended soon. Gossip did not help: a peer that was as far behind reset the count of the one that was ahead.

Change: watches last 2 s as before; only a peer that knows more counts, and an answer of the store clears the count.

Tests: test_a_history_that_is_dropped_under_a_watch_is_noticed_in_time fails with 8 s, test_a_peer_that_is_as_far_behind_does_not_hide_one_that_knows with the old count.

--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -88,12 +88,7 @@
         data_centre=settings.data_centre,
         started_s=clock(),
     )
-    news = News(
-        store=store,
-        catalogue=catalogue,
-        clock=clock,
-        entries=lambda: len(membership.live(clock())),
-    )
+    news = News(store=store, catalogue=catalogue, clock=clock)
     rng = random.Random()
     line = Line(membership=membership, clock=clock)
     admission = Admission(
--- a/src/shallotroad/gateway/news.py
+++ b/src/shallotroad/gateway/news.py
@@ -27,11 +27,9 @@
     from shallotroad.platform.store import Batch
     from shallotroad.platform.store import StoreClient
 
-# A connection may go silent without a reset. One entry of all notices that soon, as
-# their watches end at different times; the others hear from it.
-SHORTEST_WATCH_MS = 2_000
-WATCH_MS_PER_ENTRY = 300
-LONGEST_WATCH_MS = 8_000
+# Until then a connection that went silent is noticed, and a history that was dropped:
+# the store tells a waiting watch of neither.
+WATCH_MS = 2_000
 BEHIND_S = 1.0  # a peer may hear of a change so much earlier on a good connection
 GATHER_S = 0.15  # between watches, so that one call brings several changes
 LONGEST_GATHER_S = 0.6  # while changes come in quick succession
@@ -50,12 +48,10 @@
         store: StoreClient,
         catalogue: Catalogue,
         clock: Callable[[], float],
-        entries: Callable[[], int],
     ) -> None:
         self._store = store
         self._catalogue = catalogue
         self._clock = clock
-        self._entries = entries
         self._watching: asyncio.Timeout | None = None
         self._behind_s: float | None = None
         self._chased = -1
@@ -171,8 +167,7 @@
         revision of the list, of which no change tells.
         """
         if revision <= max(self._known_revision, self.revision, self._chased):
-            self._behind_s = None
-            return
+            return  # the peer is no further; others may be
         now_s = self._clock()
         if self._behind_s is None:
             self._behind_s = now_s
@@ -183,11 +178,6 @@
 
     # The store
 
-    def watch_ms(self) -> int:
-        """Return how long a watch waits for a change."""
-        wait_ms = WATCH_MS_PER_ENTRY * self._entries()
-        return min(LONGEST_WATCH_MS, max(SHORTEST_WATCH_MS, wait_ms))
-
     async def follow(self) -> None:
         """List and watch until cancelled."""
         backoff_s = FIRST_BACKOFF_S
@@ -204,6 +194,7 @@
                     for document in batch.documents:
                         self.apply(document)
                 self.revision = max(self.revision, batch.revision)
+                self._behind_s = None
                 backoff_s = FIRST_BACKOFF_S
                 await asyncio.sleep(gather_s)
                 gather_s = min(LONGEST_GATHER_S, 2 * gather_s)
@@ -221,7 +212,7 @@
         """Wait for changes, until peers know of one and this watch does not."""
         try:
             async with asyncio.timeout(None) as self._watching:
-                return await self._store.watch(self.revision, wait_ms=self.watch_ms())
+                return await self._store.watch(self.revision, wait_ms=WATCH_MS)
         except TimeoutError:
             raise StoreUnavailableError("peers know of a newer revision") from None
         finally:
--- a/tests/unit/gateway/test_news.py
+++ b/tests/unit/gateway/test_news.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 import orjson
-import pytest
 
 from shallotroad.catalog.catalogue import Catalogue
 from shallotroad.gateway.fleet import Fleet
@@ -12,6 +11,7 @@
 from shallotroad.gateway.news import LONGEST_GATHER_S
 from shallotroad.gateway.news import News
 from shallotroad.platform.documents import Document
+from shallotroad.platform.exceptions import HistoryLostError
 from shallotroad.platform.settings import Address
 from shallotroad.platform.store import Batch
 from shallotroad.platform.store import StoreClient
@@ -19,12 +19,13 @@
 
 
 NOWHERE = Address("127.0.0.1", 1)
+IN_FORCE_S = 3.0  # the longest that any site allows a new version to take
 
 
 class Subject:
     """News with its catalogue and clock."""
 
-    def __init__(self, *, store: StoreClient | None = None, entries: int = 1) -> None:
+    def __init__(self, *, store: StoreClient | None = None) -> None:
         self.clock = Clock()
         fleet = Fleet(clock=self.clock, regions={}, closed=set())
         self.catalogue = Catalogue(on_endpoint=fleet.put, on_gone=fleet.drop)
@@ -32,7 +33,6 @@
             store=store or StoreClient(address=NOWHERE),
             catalogue=self.catalogue,
             clock=self.clock,
-            entries=lambda: entries,
         )
 
 
@@ -56,6 +56,26 @@
         return batch
 
 
+class ForgetfulStore(StoreClient):
+    """Drops its history under the first watch."""
+
+    def __init__(self) -> None:
+        super().__init__(address=NOWHERE)
+        self.lists = 0
+
+    async def list_documents(self) -> Batch:
+        self.lists += 1
+        if self.lists == 1:
+            return Batch(1, [configuration(7, 1)])
+        return Batch(5, [configuration(9, 5)])
+
+    async def watch(self, after: int, *, wait_ms: int) -> Batch:
+        await asyncio.sleep(wait_ms / 1000)
+        if after < 5:
+            raise HistoryLostError("history is gone")
+        return Batch(after, [])
+
+
 class BusyStore(SilentStore):
     """Has one change for each watch."""
 
@@ -164,13 +184,33 @@
     assert len(subject.news.snapshot(-1)) == 2
 
 
-@pytest.mark.parametrize(
-    ("entries", "expected_ms"), [(1, 2000), (5, 2000), (10, 3000), (27, 8000)]
-)
-def test_watches_are_longer_the_more_entries_notice_a_silent_connection(
-    entries: int, expected_ms: int
-) -> None:
-    assert Subject(entries=entries).news.watch_ms() == expected_ms
+async def test_a_history_that_is_dropped_under_a_watch_is_noticed_in_time() -> None:
+    """Pattern: the history goes and a version comes while all watches wait.
+
+    The store answers such a watch only when its time is over.
+    """
+    subject = Subject(store=ForgetfulStore())
+    following = asyncio.create_task(subject.news.follow())
+    await asyncio.sleep(IN_FORCE_S)
+    following.cancel()
+    held = subject.catalogue.configuration
+    assert held is not None
+    assert held.version == 9
+
+
+async def test_a_peer_that_is_as_far_behind_does_not_hide_one_that_knows() -> None:
+    store = SilentStore([configuration(7, 5)])
+    subject = Subject(store=store)
+    following = asyncio.create_task(subject.news.follow())
+    await asyncio.sleep(0.2)
+    subject.news.hear_of(5)
+    subject.clock.now_s += BEHIND_S / 2
+    subject.news.hear_of(-1)
+    subject.clock.now_s += BEHIND_S / 2
+    subject.news.hear_of(5)
+    await asyncio.sleep(0.2)
+    following.cancel()
+    assert subject.catalogue.configuration is not None
 
 
 async def test_a_silent_watch_is_given_up_when_peers_know_more() -> None:
