Serve callers and peers from an HTTP server on httptools

Ruled out: deferring the import, which would block the event loop just after the start; importing only parts of aiohttp, since its package imports all of them. Change: http_server/ serves callers, peers and the status listeners, one task per connection; upstream/http_client.py calls the store and peers over the connections that endpoints use. The header and idle timeouts of the configuration are applied, heads and chunk framing are bounded, and a body must be complete by the caller's deadline (408).

--- a/src/shallotroad/catalog/configuration.py
+++ b/src/shallotroad/catalog/configuration.py
@@ -160,8 +160,8 @@
     """Limits on callers' requests.
 
     ``header_bytes`` bounds the names and values of all headers together, and
-    ``body_bytes`` the body. ``header_timeout_ms`` and ``idle_timeout_ms`` are decoded
-    but not applied.
+    ``body_bytes`` the body. ``header_timeout_ms`` is how long the head of a request may
+    take to arrive, and ``idle_timeout_ms`` how long a connection may stay idle.
     """
 
     header_bytes: int = 16_384
--- a/src/shallotroad/gateway/exports.py
+++ b/src/shallotroad/gateway/exports.py
@@ -5,17 +5,21 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from aiohttp import web
+import orjson
 from aioprometheus import render
 
 from shallotroad.gateway.metrics import make_gauge_updater
+from shallotroad.http_server.message import Response
 
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from shallotroad.gateway.factory import Components
+    from shallotroad.http_server.connection import ServerRequest
+    from shallotroad.http_server.message import HeaderPairs
 
 METRICS_PATH = "/metrics"
 DUMP_PATH = "/debug/dump"
@@ -81,9 +85,13 @@
     }
 
 
+def _encode_headers(headers: Mapping[str, str]) -> HeaderPairs:
+    return tuple((name.encode(), value.encode()) for name, value in headers.items())
+
+
 def make_status_handler(
     components: Components,
-) -> Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]:
+) -> Callable[[ServerRequest], Awaitable[Response]]:
     """Return the handler of the listeners at the readiness and metrics addresses.
 
     Paths other than ``METRICS_PATH``, ``DUMP_PATH`` and ``LIVENESS_PATH`` return the
@@ -91,19 +99,20 @@
     """
     update_gauges = make_gauge_updater(components)
 
-    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+    async def handle(request: ServerRequest) -> Response:
         if request.path == METRICS_PATH:
             update_gauges()
             content, headers = render(components.metrics.registry, METRICS_ACCEPT)
-            return web.Response(body=content, headers=headers)
+            return Response(200, _encode_headers(headers), content)
         if request.path == DUMP_PATH:
-            return web.json_response(dump_gateway(components))
+            body = orjson.dumps(dump_gateway(components))
+            return Response(200, ((b"Content-Type", b"application/json"),), body)
         if request.path == LIVENESS_PATH:
-            return web.Response()
+            return Response(200)
         ready = (
             not components.frontend.draining
             and components.catalog.configuration is not None
         )
-        return web.Response(status=200 if ready else 503)
+        return Response(200 if ready else 503)
 
     return handle
--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from aiohttp import web
 from loguru import logger
 
 from shallotroad.catalog.catalog import Catalog
@@ -30,6 +29,7 @@
 from shallotroad.gateway.metrics import GatewayMetrics
 from shallotroad.gateway.reload import Reloader
 from shallotroad.gateway.store_watcher import StoreWatcher
+from shallotroad.http_server.server import HttpServer
 from shallotroad.observability.event_log import flush_periodically
 from shallotroad.observability.event_log import log_event
 from shallotroad.platform.store import StoreClient
@@ -43,12 +43,6 @@
 
     from shallotroad.platform.settings import InstanceSettings
 
-# Limit of the parser on the request line and on each header field. The configured
-# limit, Limits.header_bytes, applies to the sum of all fields.
-MAX_HEADER_LINE_BYTES = 65_536
-# Idle connections of callers are closed after this time, which is longer than the
-# default of Limits.idle_timeout_ms. That limit itself is not applied.
-CALLER_IDLE_TIMEOUT_S = 75.0
 # The load balancer sends new connections until two health checks have failed.
 BALANCER_LINGER_S = 2.6
 RESTART_DELAY_S = 0.5  # Delay before a failed background task is restarted.
@@ -209,15 +203,6 @@
     )
 
 
-async def _start_server(
-    handler: object, listener: socket.socket, **options: object
-) -> tuple[web.Server, asyncio.Server]:
-    """Serve a listener with ``handler``; ``options`` are those of ``web.Server``."""
-    server = web.Server(handler, access_log=None, **options)  # type: ignore[arg-type]
-    loop = asyncio.get_running_loop()
-    return server, await loop.create_server(server, sock=listener, backlog=BACKLOG)
-
-
 async def serve(
     settings: InstanceSettings,
     caller_listener: socket.socket,
@@ -241,26 +226,22 @@
     status_handler = make_status_handler(components)
     reloader = Reloader(components=components)
     reload_callbacks.add(reloader.requested.set)
-    servers = [
-        await _start_server(
-            components.frontend.handle,
-            caller_listener,
-            handler_cancellation=True,
-            keepalive_timeout=CALLER_IDLE_TIMEOUT_S,
-            max_field_size=MAX_HEADER_LINE_BYTES,
-            max_line_size=MAX_HEADER_LINE_BYTES,
-            auto_decompress=False,
-        ),
-        await _start_server(status_handler, open_listener(settings.readiness)),
+    caller_server = HttpServer(
+        handler=components.frontend.handle,
+        timeouts=components.frontend.caller_timeouts,
+    )
+    listeners = [
+        (caller_server, caller_listener),
+        (HttpServer(handler=status_handler), open_listener(settings.readiness)),
     ]
     if settings.peers is not None:
-        servers.append(
-            await _start_server(components.gossip.handle, open_listener(settings.peers))
-        )
+        peer_server = HttpServer(handler=components.gossip.handle)
+        listeners.append((peer_server, open_listener(settings.peers)))
     if settings.metrics is not None:
-        servers.append(
-            await _start_server(status_handler, open_listener(settings.metrics))
-        )
+        metrics_server = HttpServer(handler=status_handler)
+        listeners.append((metrics_server, open_listener(settings.metrics)))
+    for server, listener in listeners:
+        await server.listen(listener, backlog=BACKLOG)
     if settings.internal_ports[0]:
         await bind_datagram_socket(
             components.coordination_protocol, settings.host, settings.internal_ports[0]
@@ -282,10 +263,10 @@
         "started", callers=str(settings.callers), data_centre=settings.data_centre
     )
     await stop.wait()
-    await _drain(components, servers[0][0])
-    for _, tcp_server in servers:
-        tcp_server.close()
-    await asyncio.gather(*(server.shutdown(CLOSE_TIMEOUT_S) for server, _ in servers))
+    await _drain(components, caller_server)
+    for server, _ in listeners:
+        server.stop_listening()
+    await asyncio.gather(*(server.stop(CLOSE_TIMEOUT_S) for server, _ in listeners))
     log_event("stopped")
     for task in background_tasks:
         task.cancel()
@@ -304,7 +285,7 @@
         await asyncio.sleep(RESTART_DELAY_S)
 
 
-async def _drain(components: Components, server: web.Server) -> None:
+async def _drain(components: Components, server: HttpServer) -> None:
     """Finish the open requests within the grace period.
 
     New connections are accepted for ``BALANCER_LINGER_S``; then requests are refused
@@ -320,11 +301,7 @@
         linger_elapsed = time.monotonic() - started_s > BALANCER_LINGER_S
         if linger_elapsed and not frontend.refusing:
             frontend.refusing = True
-            for connection in server.connections:
-                if connection in frontend.busy_connections:
-                    connection.close()  # Closes after the response.
-                else:
-                    connection.force_close()
+            server.close_idle_connections()
         if linger_elapsed and frontend.open_requests == 0:
             return
         await asyncio.sleep(0.05)
--- a/src/shallotroad/gateway/gossip.py
+++ b/src/shallotroad/gateway/gossip.py
@@ -13,13 +13,15 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-import aiohttp
 import orjson
-from aiohttp import web
 from loguru import logger
 
+from shallotroad.http_server.exceptions import BodyTooLargeError
+from shallotroad.http_server.message import Response
 from shallotroad.observability.event_log import log_event
 from shallotroad.platform.documents import Document
+from shallotroad.upstream.exceptions import CallFailedError
+from shallotroad.upstream.http_client import HttpClient
 
 
 if TYPE_CHECKING:
@@ -28,6 +30,7 @@
 
     from shallotroad.gateway.membership import Membership
     from shallotroad.gateway.store_watcher import StoreWatcher
+    from shallotroad.http_server.connection import ServerRequest
 
 EXCHANGE_INTERVAL_S = 0.6
 # Members contacted per round, besides a seed while some seed is not a known member. One
@@ -39,8 +42,6 @@
 # Level of zlib. Rows differ little, so higher levels save no more bytes.
 COMPRESSION_LEVEL = 1
 MAX_STATE_BYTES = 1_000_000  # About ten thousand members.
-# Headers that aiohttp would add to each request; peers do not read them.
-OMITTED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
 
 def _documents_to_rows(documents: list[Document]) -> list[list[Any]]:
@@ -115,7 +116,6 @@
         self._store_watcher = store_watcher
         self._clock = clock
         self._rng = rng
-        self._session: aiohttp.ClientSession | None = None
 
     def _encode_own_state(self) -> bytes:
         return encode_state(
@@ -140,84 +140,69 @@
         self._store_watcher.observe_peer_revision(state["revision"])
         return state
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def handle(self, request: ServerRequest) -> Response:
         """Respond to a peer's request for an exchange or for newer documents.
 
         The status is 400 for a malformed exchange and 404 for another path.
         """
         if request.path == EXCHANGE_PATH:
             try:
-                self._merge_state(await request.read())
-            except (KeyError, TypeError, ValueError) as error:
+                self._merge_state(await request.read_body(MAX_STATE_BYTES))
+            except (BodyTooLargeError, KeyError, TypeError, ValueError) as error:
                 logger.bind(why=repr(error)).warning("malformed exchange")
-                return web.Response(status=400)
-            return web.Response(body=self._encode_own_state())
+                return Response(400)
+            return Response(200, body=self._encode_own_state())
         if request.path == SNAPSHOT_PATH:
-            after = request.query.get("after", "")
+            after = request.target.partition("?after=")[2]
             revision = int(after) if after.isdigit() else -1
             rows = _documents_to_rows(self._store_watcher.snapshot(revision))
-            return web.Response(body=orjson.dumps(rows))
-        return web.Response(status=404)
+            return Response(200, body=orjson.dumps(rows))
+        return Response(404)
 
     async def exchange_periodically(self) -> None:
         """Run rounds until cancelled.
 
         Each counts a heartbeat, evicts members, and exchanges with the chosen peers.
         """
-        try:
-            while True:
-                self._membership.increment_heartbeat()
-                now_s = self._clock()
-                self._membership.evict(now_s)
-                addresses = self._membership.choose_exchange_addresses(
-                    FAN_OUT, self._rng, now_s
-                )
-                await asyncio.gather(
-                    *(self._exchange(address) for address in addresses)
-                )
-                await asyncio.sleep(EXCHANGE_INTERVAL_S * self._rng.uniform(0.8, 1.2))
-        finally:
-            await self._close_session()
-
-    def _get_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                timeout=aiohttp.ClientTimeout(total=EXCHANGE_TIMEOUT_S),
-                skip_auto_headers=OMITTED_HEADERS,
+        while True:
+            self._membership.increment_heartbeat()
+            now_s = self._clock()
+            self._membership.evict(now_s)
+            addresses = self._membership.choose_exchange_addresses(
+                FAN_OUT, self._rng, now_s
             )
-        return self._session
-
-    async def _close_session(self) -> None:
-        session, self._session = self._session, None
-        if session is not None:
-            await session.close()
+            await asyncio.gather(*(self._exchange(address) for address in addresses))
+            await asyncio.sleep(EXCHANGE_INTERVAL_S * self._rng.uniform(0.8, 1.2))
 
     async def _exchange(self, address: str) -> None:
+        client = HttpClient(address=address, connect_timeout_s=EXCHANGE_TIMEOUT_S)
         try:
-            url = f"http://{address}{EXCHANGE_PATH}"
-            async with self._get_session().post(
-                url, data=self._encode_own_state()
-            ) as response:
-                state = self._merge_state(await response.read())
+            result = await client.call(
+                "POST",
+                EXCHANGE_PATH,
+                body=self._encode_own_state(),
+                timeout_s=EXCHANGE_TIMEOUT_S,
+            )
+            state = self._merge_state(result.body)
             if (
                 not self._store_watcher.connected
                 and state["revision"] > self._store_watcher.known_revision
             ):
-                await self._fetch_snapshot(address)
-        except TimeoutError:
-            # All kept-alive connections may have gone silent together.
-            await self._close_session()
-            logger.bind(peer=address).debug("peer is silent")
-        except (aiohttp.ClientError, OSError) as error:
-            logger.bind(peer=address, why=repr(error)).debug("peer not reached")
+                await self._fetch_snapshot(client, address)
+        except CallFailedError as error:
+            logger.bind(peer=address, why=str(error)).debug("peer not reached")
         except (KeyError, TypeError, ValueError) as error:
             logger.bind(peer=address, why=repr(error)).warning("malformed exchange")
+        finally:
+            client.close()
 
-    async def _fetch_snapshot(self, address: str) -> None:
-        url = f"http://{address}{SNAPSHOT_PATH}"
-        query = {"after": str(self._store_watcher.known_revision)}
-        async with self._get_session().get(url, params=query) as response:
-            documents = _rows_to_documents(orjson.loads(await response.read()))
+    async def _fetch_snapshot(self, client: HttpClient, address: str) -> None:
+        """Apply the documents of a peer that are newer than those known here."""
+        revision = self._store_watcher.known_revision
+        result = await client.call(
+            "GET", f"{SNAPSHOT_PATH}?after={revision}", timeout_s=EXCHANGE_TIMEOUT_S
+        )
+        documents = _rows_to_documents(orjson.loads(result.body))
         log_event("documents taken from a peer", peer=address, n=len(documents))
         for document in documents:
             self._store_watcher.apply(document)
--- a/src/shallotroad/gateway/http_frontend.py
+++ b/src/shallotroad/gateway/http_frontend.py
@@ -10,15 +10,18 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from aiohttp import web
 from loguru import logger
-from multidict import CIMultiDict
 
 from shallotroad.gateway.exceptions import BrokenStreamError
 from shallotroad.gateway.exceptions import OutcomeUnknownError
 from shallotroad.gateway.exceptions import RefusedError
 from shallotroad.gateway.exceptions import RejectedError
 from shallotroad.gateway.job import Job
+from shallotroad.http_server.connection import ResponseStream
+from shallotroad.http_server.exceptions import BodyTooLargeError
+from shallotroad.http_server.message import Response
+from shallotroad.http_server.server import DEFAULT_TIMEOUTS
+from shallotroad.http_server.server import Timeouts
 from shallotroad.observability.event_log import log_event
 from shallotroad.platform.headers import decode_request
 
@@ -26,12 +29,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from aiohttp.web_protocol import RequestHandler
-
     from shallotroad.catalog.catalog import Catalog
     from shallotroad.catalog.configuration import Configuration
     from shallotroad.gateway.forwarder import Forwarder
     from shallotroad.gateway.metrics import GatewayMetrics
+    from shallotroad.http_server.connection import ServerRequest
+    from shallotroad.http_server.message import HeaderPairs
     from shallotroad.platform.headers import CallerRequest
     from shallotroad.platform.headers import ResponseHead
 
@@ -39,16 +42,12 @@
 # The store responds to a starting process well within this time.
 CONFIGURATION_TIMEOUT_S = 0.3
 CONFIGURATION_POLL_INTERVAL_S = 0.02
-RETRY_AFTER = "Retry-After"
-
-
-def _response_headers(head: ResponseHead) -> CIMultiDict[str]:
-    """Return the headers of ``head.forwarded`` as text, none added or left out."""
-    pairs = (
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in head.forwarded
-    )
-    return CIMultiDict(pairs)
+RETRY_AFTER = b"Retry-After"
+# Longest time to receive a body if the caller states no deadline.
+BODY_TIMEOUT_S = 30.0
+# Added to the configured timeouts of callers, because a lost packet that is sent again
+# arrives late through no fault of the caller.
+CALLER_TIMEOUT_SLACK_S = 1.0
 
 
 class CallerStream:
@@ -61,34 +60,25 @@
     """
 
     def __init__(
-        self, *, request: web.BaseRequest, is_draining: Callable[[], bool]
+        self, *, request: ServerRequest, is_draining: Callable[[], bool]
     ) -> None:
-        self._request = request
         self._is_draining = is_draining
-        self.response: web.StreamResponse | None = None
+        self._response = ResponseStream(request=request)
         self.started_s = 0.0
         self.observed_max_event_gap_s = 0.0
         self._last_write_s = 0.0
 
     async def start(self, head: ResponseHead) -> None:
-        """Send the head of the response.
+        """Set the head of the response, which is sent with the first events.
 
         Called once, with the head of the endpoint at which the stream began, and not
         again when another endpoint resumes the stream.
         """
-        response = web.StreamResponse(
-            status=head.status, headers=_response_headers(head)
-        )
-        response.enable_chunked_encoding()
-        if self._is_draining():
-            response.force_close()
-        self.response = response
         self.started_s = asyncio.get_running_loop().time()
-        await response.prepare(self._request)
+        self._response.start(head.status, head.forwarded, closes=self._is_draining())
 
     async def write(self, data: bytes) -> None:
         """Send complete events and record the longest event gap."""
-        assert self.response is not None
         now_s = asyncio.get_running_loop().time()
         if self._last_write_s:
             event_gap_s = now_s - self._last_write_s
@@ -96,14 +86,22 @@
                 self.observed_max_event_gap_s, event_gap_s
             )
         self._last_write_s = now_s
-        await self.response.write(data)
+        await self._response.write(data)
+
+    async def finish(self) -> None:
+        """Mark the stream as complete."""
+        await self._response.finish()
+
+    def break_off(self) -> None:
+        """Close the connection so that the stream does not look complete."""
+        self._response.break_off()
 
 
 class HttpFrontend:
     """Receives requests from callers and gives each exactly one response.
 
     ``draining`` closes each connection after its response; ``refusing`` also
-    refuses new requests. ``busy_connections`` are those with a request in flight.
+    refuses new requests.
     """
 
     def __init__(
@@ -122,28 +120,34 @@
         self.draining = False
         self.refusing = False
         self.open_requests = 0
-        self.busy_connections: set[RequestHandler] = set()
         self._metrics = metrics
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Serve one request of a caller."""
+    def caller_timeouts(self) -> Timeouts:
+        """Return the timeouts of callers that the configuration sets."""
+        configuration = self._catalog.configuration
+        if configuration is None:
+            return DEFAULT_TIMEOUTS
+        limits = configuration.limits
+        return Timeouts(
+            head_s=limits.header_timeout_ms / 1000 + CALLER_TIMEOUT_SLACK_S,
+            idle_s=limits.idle_timeout_ms / 1000 + CALLER_TIMEOUT_SLACK_S,
+        )
+
+    async def handle(self, request: ServerRequest) -> Response | None:
+        """Serve one request of a caller; return None if its response was streamed."""
         arrival_s = self._clock()
         self.open_requests += 1
-        self.busy_connections.add(request.protocol)
         try:
             return await self._serve(request, arrival_s)
         finally:
             self.open_requests -= 1
-            self.busy_connections.discard(request.protocol)
 
-    async def _serve(
-        self, request: web.BaseRequest, arrival_s: float
-    ) -> web.StreamResponse:
+    async def _serve(self, request: ServerRequest, arrival_s: float) -> Response | None:
         """Decode, forward and log a request, and turn errors into responses.
 
         A broken stream closes the caller's connection.
         """
-        decoded = decode_request(request.method, request.raw_path, request.raw_headers)
+        decoded = decode_request(request.method, request.target, request.headers)
         stream = CallerStream(request=request, is_draining=lambda: self.draining)
         job: Job | None = None
         outcome = "left"
@@ -153,32 +157,27 @@
             response = await self._forwarder.run(job, stream)
             outcome = "answered"
             if response is None:
-                assert stream.response is not None
-                await stream.response.write_eof()
-                return stream.response
+                await stream.finish()
+                return None
             outcome = f"status {response.head.status}"
-            return self._close_if_draining(
-                web.Response(
-                    status=response.head.status,
-                    headers=_response_headers(response.head),
-                    body=response.body,
-                )
+            return self._response(
+                response.head.status,
+                headers=response.head.forwarded,
+                body=response.body,
             )
         except RefusedError as error:
             outcome, reason = "refused", error.reason
             return self._refused_response(error)
         except RejectedError as error:
             outcome, reason = f"rejected {error.status}", error.reason
-            return self._close_if_draining(web.Response(status=error.status))
+            return self._response(error.status)
         except OutcomeUnknownError as error:
             outcome, reason = "unknown", error.reason
-            return self._close_if_draining(web.Response(status=error.status))
+            return self._response(error.status)
         except BrokenStreamError as error:
             outcome, reason = "broken", str(error)
-            if request.transport is not None:
-                request.transport.close()
-            assert stream.response is not None
-            return stream.response
+            stream.break_off()
+            return None
         except ConnectionError as error:
             outcome, reason = "left", repr(error)
             raise
@@ -245,7 +244,7 @@
             )
 
     async def _create_job(
-        self, request: web.BaseRequest, decoded: CallerRequest, arrival_s: float
+        self, request: ServerRequest, decoded: CallerRequest, arrival_s: float
     ) -> Job:
         """Validate a request, read its body and return its job.
 
@@ -254,8 +253,9 @@
         RefusedError
             When the process refuses new requests or has no configuration.
         RejectedError
-            When the headers (431) or the body (413) are too large, no route matches
-            (404), the API key is not known (401), or there is no request id (400).
+            When the headers (431) or the body (413) are too large, the body takes too
+            long (408), no route matches (404), the API key is not known (401), or there
+            is no request id (400).
         ConnectionResetError
             When the body is incomplete or the caller has closed the connection.
         """
@@ -266,16 +266,14 @@
             raise RefusedError(
                 "no configuration yet", retry_after_s=UNCONFIGURED_RETRY_AFTER_S
             )
-        head_bytes = sum(len(name) + len(value) for name, value in request.raw_headers)
+        head_bytes = sum(len(name) + len(value) for name, value in request.headers)
         if head_bytes > configuration.limits.header_bytes:
             raise RejectedError("headers are too large", status=431)
         if decoded.expects_continue:
-            assert request.transport is not None
-            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        try:
-            body = await self._read_body(request, configuration.limits.body_bytes)
-        except asyncio.IncompleteReadError as error:
-            raise ConnectionResetError("request body is incomplete") from error
+            request.send_continue()
+        body = await self._read_body(
+            request, decoded.deadline_ms, configuration.limits.body_bytes
+        )
         await self._check_connected(request)
         configuration = self._catalog.configuration or configuration
         path = decoded.target.partition("?")[0]
@@ -303,7 +301,7 @@
             min_event_gap_limit_ms=configuration.min_event_gap_limit_ms(service.name),
         )
 
-    async def _check_connected(self, request: web.BaseRequest) -> None:
+    async def _check_connected(self, request: ServerRequest) -> None:
         """Raise ``ConnectionResetError`` if the caller has closed the connection.
 
         Yields to the event loop once, so that it can read the end of the
@@ -311,7 +309,7 @@
         a while, such as during the start of the process.
         """
         await asyncio.sleep(0)
-        if request.transport is None or request.transport.is_closing():
+        if not request.connected:
             raise ConnectionResetError("caller closed the connection")
 
     async def _wait_for_configuration(self) -> Configuration | None:
@@ -324,30 +322,33 @@
             await asyncio.sleep(CONFIGURATION_POLL_INTERVAL_S)
         return self._catalog.configuration
 
-    async def _read_body(self, request: web.BaseRequest, max_bytes: int) -> bytes:
+    async def _read_body(
+        self, request: ServerRequest, deadline_ms: float | None, max_bytes: int
+    ) -> bytes:
         """Return the body of a request.
 
         Raises
         ------
         RejectedError
-            When it is larger than ``max_bytes``; status 413.
+            When it is larger than ``max_bytes``, status 413, or not complete by the
+            caller's deadline, status 408.
         """
-        if not request.can_read_body:
-            return b""
-        body = bytearray()
-        async for chunk in request.content.iter_any():
-            body += chunk
-            if len(body) > max_bytes:
-                raise RejectedError("body is too large", status=413)
-        return bytes(body)
-
-    def _refused_response(self, error: RefusedError) -> web.Response:
-        response = web.Response(
-            status=503, headers={RETRY_AFTER: f"{error.retry_after_s:.2f}"}
-        )
-        return self._close_if_draining(response)
-
-    def _close_if_draining(self, response: web.Response) -> web.Response:
-        if self.draining:
-            response.force_close()
-        return response
+        timeout_s = deadline_ms / 1000 if deadline_ms else BODY_TIMEOUT_S
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await request.read_body(max_bytes)
+        except BodyTooLargeError as error:
+            raise RejectedError(str(error), status=413) from error
+        except TimeoutError:
+            raise RejectedError(
+                f"the body is not complete after {timeout_s:.1f} s", status=408
+            ) from None
+
+    def _refused_response(self, error: RefusedError) -> Response:
+        retry_after = f"{error.retry_after_s:.2f}".encode()
+        return self._response(503, headers=((RETRY_AFTER, retry_after),))
+
+    def _response(
+        self, status: int, *, headers: HeaderPairs = (), body: bytes = b""
+    ) -> Response:
+        return Response(status, headers, body, closes=self.draining)
--- /dev/null
+++ b/src/shallotroad/http_server/server.py
@@ -0,0 +1,96 @@
+"""HTTP/1.1 server: accepts connections and stops them in an orderly way."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from shallotroad.http_server.connection import ServerConnection
+
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from shallotroad.http_server.connection import ServerRequest
+    from shallotroad.http_server.message import Response
+
+    Handler = Callable[[ServerRequest], Awaitable[Response | None]]
+
+
+class Timeouts(NamedTuple):
+    """How long a caller may take.
+
+    Parameters
+    ----------
+    head_s : float
+        From the first byte of a request until its head is complete.
+    idle_s : float
+        Between requests, and before the first.
+    """
+
+    head_s: float
+    idle_s: float
+
+
+DEFAULT_TIMEOUTS = Timeouts(head_s=10.0, idle_s=75.0)
+
+
+class HttpServer:
+    """Serves one listening socket.
+
+    Parameters
+    ----------
+    handler : callable
+        Serves one request. It returns the response, or None when it has sent one
+        through a ``ResponseStream``. It is cancelled when the caller disconnects.
+    timeouts : callable
+        Returns the timeouts in force.
+
+    Attributes
+    ----------
+    connections : set of ServerConnection
+        Open connections.
+    """
+
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        timeouts: Callable[[], Timeouts] = lambda: DEFAULT_TIMEOUTS,
+    ) -> None:
+        self.handler = handler
+        self.timeouts = timeouts
+        self.connections: set[ServerConnection] = set()
+        self._listener: asyncio.Server | None = None
+
+    async def listen(self, listener: socket.socket, *, backlog: int) -> None:
+        """Accept connections from a listening socket."""
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            lambda: ServerConnection(server=self), sock=listener, backlog=backlog
+        )
+
+    def close_idle_connections(self) -> None:
+        """Close idle connections now, and the others after their next response."""
+        for connection in list(self.connections):
+            connection.close_when_idle()
+
+    def stop_listening(self) -> None:
+        """Accept no further connections."""
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+
+    async def stop(self, timeout_s: float) -> None:
+        """Close all connections, those still in use after ``timeout_s``."""
+        self.stop_listening()
+        self.close_idle_connections()
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        while self.connections and loop.time() < deadline_s:
+            await asyncio.sleep(min(0.01, timeout_s))
+        for connection in list(self.connections):
+            connection.abort()
--- a/src/shallotroad/platform/store.py
+++ b/src/shallotroad/platform/store.py
@@ -7,13 +7,15 @@
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
+from urllib.parse import urlencode
 
-import aiohttp
 import orjson
 
 from shallotroad.platform.documents import Document
 from shallotroad.platform.exceptions import RevisionCompactedError
 from shallotroad.platform.exceptions import StoreUnavailableError
+from shallotroad.upstream.exceptions import CallFailedError
+from shallotroad.upstream.http_client import HttpClient
 
 
 if TYPE_CHECKING:
@@ -45,6 +47,10 @@
         return None
 
 
+def _make_client(address: Address) -> HttpClient:
+    return HttpClient(address=str(address), connect_timeout_s=CONNECT_TIMEOUT_S)
+
+
 class StoreClient:
     """Lists and watches the documents of the store.
 
@@ -53,23 +59,20 @@
     """
 
     def __init__(self, *, address: Address) -> None:
-        self._base_url = f"http://{address}"
-        self._session: aiohttp.ClientSession | None = None
+        self._client = _make_client(address)
         self.request_count = 0
 
     async def close(self) -> None:
         """Close the connections. The next call opens new ones."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        self._client.close()
 
     def set_address(self, address: Address) -> None:
         """Set the address of the store for later requests, which open new connections.
 
-        A request in flight is not interrupted, and idle connections to the earlier
-        address are closed by their keep-alive timeout.
+        A request in flight is not interrupted.
         """
-        self._base_url = f"http://{address}"
+        self._client.close()
+        self._client = _make_client(address)
 
     async def list_documents(self) -> DocumentBatch:
         """Read every document, page by page.
@@ -125,27 +128,24 @@
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: float
     ) -> dict[str, Any]:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=2, keepalive_timeout=10),
-                cookie_jar=aiohttp.DummyCookieJar(),
-            )
         self.request_count += 1
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        client = self._client
+        try:
+            result = await client.call(
+                "GET", f"{path}?{urlencode(query)}", timeout_s=timeout_s
+            )
+        except CallFailedError as error:
+            raise StoreUnavailableError(f"{path}: {error}") from error
+        if result.status == 410:
+            raise RevisionCompactedError(
+                f"changes after revision {query.get('after', '')} were discarded"
+            )
+        if result.status != 200:
+            raise StoreUnavailableError(f"{path}: status {result.status}")
         try:
-            async with self._session.get(
-                self._base_url + path, params=query, timeout=timeout
-            ) as response:
-                body = await response.read()
-                if response.status == 410:
-                    raise RevisionCompactedError(
-                        f"changes after revision {query['after']} were discarded"
-                    )
-                if response.status != 200:
-                    raise StoreUnavailableError(f"{path}: status {response.status}")
-                payload = orjson.loads(body)
-        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
-            await self.close()
+            payload = orjson.loads(result.body)
+        except ValueError as error:
+            client.close()
             raise StoreUnavailableError(f"{path}: {error!r}") from error
         if not isinstance(payload, dict):
             raise StoreUnavailableError(f"{path}: the response is not a JSON object")
--- a/src/shallotroad/upstream/connection.py
+++ b/src/shallotroad/upstream/connection.py
@@ -21,6 +21,9 @@
 
 # Reading from the endpoint pauses while more bytes than this wait for a slow caller.
 MAX_BUFFERED_BYTES = 262_144
+# A response of which more bytes than this arrive without a complete head, a part of the
+# body or its end is malformed. Also bounds a late response to an earlier request.
+MAX_UNPARSED_BYTES = 262_144
 # The kernel closes the connection when sent data stays unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 2_000
 # The socket module has no such name on some platforms; 18 is the number on Linux.
@@ -55,6 +58,7 @@
         self._head: ResponseHead | None = None
         self._chunks: deque[bytes] = deque()
         self._buffered_bytes = 0
+        self._unparsed_bytes = 0
         self._complete = False
         self._error: Exception | None = None
         self._waiter: asyncio.Future[None] | None = None
@@ -90,6 +94,7 @@
                 MalformedResponseError("received bytes while no request was in flight")
             )
             return
+        self._unparsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, ValueError) as error:
@@ -97,6 +102,14 @@
                 self._reuse_unsafe = True
             else:
                 self._fail(MalformedResponseError(f"not an answer: {error!r}"))
+            return
+        if self._unparsed_bytes > MAX_UNPARSED_BYTES:
+            self._fail(
+                MalformedResponseError(
+                    f"{self._unparsed_bytes} bytes without an end of the head, of a "
+                    "chunk or of the response"
+                )
+            )
 
     def eof_received(self) -> None:
         """Complete a response whose body ends where the connection ends."""
@@ -154,12 +167,14 @@
             head.length is None and not head.chunked and not bodiless
         )
         self._head = head
+        self._unparsed_bytes = 0
         self._wake_reader()
 
     def on_body(self, body: bytes) -> None:
         """Buffer a chunk of the body until it is read."""
         if self._skipping_response or self._complete:
             return
+        self._unparsed_bytes = 0
         self._chunks.append(body)
         self._buffered_bytes += len(body)
         if self._buffered_bytes > MAX_BUFFERED_BYTES and self._transport is not None:
@@ -186,6 +201,11 @@
             and self._error is None
         )
 
+    @property
+    def response_begun(self) -> bool:
+        """Whether the head of the current response has arrived."""
+        return self._head is not None
+
     async def send(self, request_id: str, head: bytes, body: bytes) -> None:
         """Start sending a request; returns before the bytes are sent.
 
@@ -210,6 +230,7 @@
         self._body_ends_at_close = False
         self._chunks.clear()
         self._buffered_bytes = 0
+        self._unparsed_bytes = 0
         self.request_count += 1
         self._transport.write(head + body if body else head)
 
--- a/src/shallotroad/upstream/exceptions.py
+++ b/src/shallotroad/upstream/exceptions.py
@@ -15,3 +15,7 @@
 
 class MalformedResponseError(ShallotroadError):
     """The endpoint sent no valid response; the request may have run."""
+
+
+class CallFailedError(ShallotroadError):
+    """A call got no complete and valid response in time."""
--- /dev/null
+++ b/src/shallotroad/upstream/http_client.py
@@ -0,0 +1,137 @@
+"""HTTP client for the store and for peers, on the connections to endpoints.
+
+Whatever the server sends, a call ends by its timeout and holds a bounded number of
+bytes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from shallotroad.upstream.exceptions import CallFailedError
+from shallotroad.upstream.exceptions import ConnectError
+from shallotroad.upstream.exceptions import ConnectionLostError
+from shallotroad.upstream.exceptions import MalformedResponseError
+from shallotroad.upstream.pool import ConnectionPool
+
+
+if TYPE_CHECKING:
+    from shallotroad.upstream.connection import EndpointConnection
+
+MAX_RESPONSE_BYTES = 16_777_216
+MAX_IDLE_S = 4.0
+
+
+class CallResult(NamedTuple):
+    """Status and complete body of a response."""
+
+    status: int
+    body: bytes
+
+
+async def read_complete(
+    connection: EndpointConnection, max_bytes: int = MAX_RESPONSE_BYTES
+) -> bytes:
+    """Return the rest of the body of the response that a connection receives.
+
+    Raises
+    ------
+    ConnectionLostError, MalformedResponseError
+        When the connection fails before the body is complete, or the body is larger
+        than ``max_bytes``.
+    """
+    chunks = []
+    size_bytes = 0
+    while chunk := await connection.read():
+        size_bytes += len(chunk)
+        if size_bytes > max_bytes:
+            raise MalformedResponseError(f"response body exceeds {max_bytes} bytes")
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
+def encode_call(method: str, address: str, target: str, body: bytes) -> bytes:
+    """Return the head of a request, including the empty line at its end."""
+    length = f"Content-Length: {len(body)}\r\n" if method == "POST" else ""
+    return f"{method} {target} HTTP/1.1\r\nHost: {address}\r\n{length}\r\n".encode()
+
+
+class HttpClient:
+    """Calls one address, over kept connections.
+
+    Parameters
+    ----------
+    address : str
+        ``HOST:PORT`` of the server.
+    connect_timeout_s : float
+        Time in which a connection must be established.
+    """
+
+    def __init__(self, *, address: str, connect_timeout_s: float) -> None:
+        self._address = address
+        host, _, port = address.rpartition(":")
+        self._pool = ConnectionPool(
+            host=host, port=int(port), connect_timeout_s=connect_timeout_s
+        )
+
+    async def call(
+        self, method: str, target: str, *, body: bytes = b"", timeout_s: float
+    ) -> CallResult:
+        """Send a request that may be repeated, and return the complete response.
+
+        It is sent once more if a kept connection is lost before a response begins,
+        because the server may have closed that connection just before. After a timeout
+        all kept connections are closed, because they may have gone silent together.
+
+        Raises
+        ------
+        CallFailedError
+            When the server sent no complete and valid response in time.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._call_with_retry(method, target, body)
+        except TimeoutError:
+            self.close()
+            raise CallFailedError(
+                f"{self._address}: no response within {timeout_s:.2f} s"
+            ) from None
+        except (ConnectError, ConnectionLostError, MalformedResponseError) as error:
+            self.close()
+            raise CallFailedError(f"{self._address}: {error}") from error
+
+    async def _call_with_retry(
+        self, method: str, target: str, body: bytes
+    ) -> CallResult:
+        connection = await self._pool.acquire(max_idle_s=MAX_IDLE_S)
+        reused = connection.request_count > 0
+        try:
+            return await self._call_on(connection, method, target, body)
+        except (ConnectError, ConnectionLostError):
+            if not reused or connection.response_begun:
+                raise
+        self.close()
+        connection = await self._pool.acquire(max_idle_s=MAX_IDLE_S)
+        return await self._call_on(connection, method, target, body)
+
+    async def _call_on(
+        self, connection: EndpointConnection, method: str, target: str, body: bytes
+    ) -> CallResult:
+        try:
+            head = encode_call(method, self._address, target, body)
+            await connection.send("", head, body)
+            response = await connection.head()
+            content = await read_complete(connection)
+            if response.length is not None and response.length != len(content):
+                raise ConnectionLostError("body does not have the announced length")
+        except BaseException:
+            connection.close()
+            raise
+        self._pool.release(connection)
+        return CallResult(response.status, content)
+
+    def close(self) -> None:
+        """Close the idle connections; the next call opens a new one."""
+        self._pool.close()
--- a/src/shallotroad/upstream/pool.py
+++ b/src/shallotroad/upstream/pool.py
@@ -25,9 +25,12 @@
 class ConnectionPool:
     """Keeps idle connections to one endpoint and reuses the most recently used one."""
 
-    def __init__(self, *, host: str, port: int) -> None:
+    def __init__(
+        self, *, host: str, port: int, connect_timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> None:
         self._host = host
         self._port = port
+        self._connect_timeout_s = connect_timeout_s
         self._idle: list[EndpointConnection] = []
         self.opened_count = 0
 
@@ -59,7 +62,7 @@
                 return connection
             connection.close()
         self.opened_count += 1
-        return await connect(self._host, self._port, timeout_s=CONNECT_TIMEOUT_S)
+        return await connect(self._host, self._port, timeout_s=self._connect_timeout_s)
 
     def release(self, connection: EndpointConnection) -> None:
         """Finish a connection and keep it as idle, or close it.
