Bound bytes without end, torn streams and malformed messages

Ruled out: endless chunk headers, which the parser drops (passed before as well). Change: bodies that are not streams, cache lists, events and bytes without progress are bounded per connection, large bodies together per process; a connection that ends within an event breaks the stream off; rows and messages are decoded into their types, and a malformed one is dropped whole.

--- a/devtools/dependency_standins.py
+++ b/devtools/dependency_standins.py
@@ -21,6 +21,7 @@
 
 HOST = "127.0.0.1"
 EVENT_GAP_S = 0.05
+FILLER = b"x" * 65_536
 # The only service that the configuration describes as engines.
 ENGINE_SERVICE = "model"
 # Capacity of one engine: batch slots, KV cache in tokens, tokens in each event
@@ -148,6 +149,11 @@
         A response without the signature of the endpoint.
     ``error``
         Status 500.
+    ``torn``
+        A stream without a length that ends, without a reset, within its third event.
+    ``endless-head``, ``endless-body``, ``endless-chunk-header``, ``endless-event``
+        A response whose head, body, chunk framing or event goes on, as fast as it is
+        read, until the connection is closed.
 
     ``executed_ids`` has one item for each time that a request was run.
     """
@@ -161,6 +167,7 @@
         self.executed_ids: list[str] = []
         self.cached_prefixes: list[tuple[str, int]] = []
         self.aborted_connections = 0
+        self.filler_bytes = 0
         self.registered_port = 0
         self.port = 0
         self._server: asyncio.Server | None = None
@@ -260,6 +267,12 @@
         if self.mode == "mute":
             await asyncio.sleep(60)
             return False
+        if self.mode.startswith("endless-"):
+            await self._send_without_end(request, writer, signature_header)
+            return False
+        if self.mode == "torn":
+            await self._send_torn_stream(request, writer, signature_header)
+            return True
         if self.mode in ("stream", "cut"):
             return await self._stream(request, writer, signature_header)
         if self.mode == "unsigned":
@@ -274,6 +287,44 @@
             writer.write(response)
         return True
 
+    async def _send_without_end(
+        self,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+        signature_header: str,
+    ) -> None:
+        """Send filler in the part that ``mode`` names until the connection ends."""
+        extra = {
+            "endless-head": f"{signature_header}X-Filler: ",
+            "endless-body": signature_header,
+            "endless-chunk-header": (
+                f"{signature_header}Transfer-Encoding: chunked\r\n\r\n5;filler="
+            ),
+            "endless-event": (f"{signature_header}Content-Type: text/event-stream\r\n"),
+        }[self.mode]
+        head = self._response_head(request, "200 OK", extra)
+        writer.write(head[: len(head) - 2] if extra.endswith((" ", "=")) else head)
+        while not writer.transport.is_closing():
+            writer.write(FILLER)
+            self.filler_bytes += len(FILLER)
+            await writer.drain()
+
+    async def _send_torn_stream(
+        self,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+        signature_header: str,
+    ) -> None:
+        """Send two events and half of a third, then end the connection in order."""
+        extra = f"{signature_header}Content-Type: text/event-stream\r\n"
+        writer.write(self._response_head(request, "200 OK", extra))
+        for number in (1, 2, 3):
+            event = f"id: {number}\ndata: {request.request_id}-{number}\n\n".encode()
+            writer.write(event if number < 3 else event[: len(event) // 2])
+        await writer.drain()
+        writer.close()
+        await writer.wait_closed()
+
     async def _stream(
         self,
         request: ReceivedRequest,
--- a/src/shallotroad/gateway/cache_survey.py
+++ b/src/shallotroad/gateway/cache_survey.py
@@ -20,6 +20,7 @@
 from shallotroad.upstream.exceptions import ConnectError
 from shallotroad.upstream.exceptions import ConnectionLostError
 from shallotroad.upstream.exceptions import MalformedResponseError
+from shallotroad.upstream.response_body import read_body
 
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
 # Each survey delays the engines, so a service is surveyed at most this often.
 MIN_SURVEY_INTERVAL_S = 15.0
 HTTP_OK = 200
+MAX_LIST_BYTES = 4_194_304
 
 
 class CacheSurvey:
@@ -136,7 +138,7 @@
         ConnectionLostError
             When the connection ends before the whole response.
         MalformedResponseError
-            When the response is not valid HTTP.
+            When the response is not valid HTTP or too large.
         """
         record = load.record
         pool = self._endpoint_registry.pool(record.identifier)
@@ -147,13 +149,11 @@
             head = encode_cache_query(host=record.host, endpoint=record.identifier)
             await connection.send("", head, b"")
             response = await connection.head()
-            chunks = []
-            while chunk := await connection.read():
-                chunks.append(chunk)
+            body = await read_body(connection, max_bytes=MAX_LIST_BYTES)
             if response.status != HTTP_OK:
                 raise ConnectError(f"cache query: HTTP status {response.status}")
             pool.release(connection)
-            return b"".join(chunks)
+            return body
         except BaseException:
             connection.close()
             raise
--- a/src/shallotroad/gateway/coordination/messages.py
+++ b/src/shallotroad/gateway/coordination/messages.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -170,35 +171,111 @@
         route_tier,
     ) = fields[:9]
     offsets_ms, streams, gap_sensitive_tokens, excluded, regions = fields[9:]
-    times = [now_s + float(offset_ms) / MS_PER_S for offset_ms in offsets_ms]
+    times = [now_s + _finite(offset_ms) / MS_PER_S for offset_ms in offsets_ms]
     arrival_s, objective_s, end_s, deadline_s, last_start_s = times
     prompt_parts = tuple(
         PromptPart(str(identifier), int(tokens)) for identifier, tokens in parts
     )
     return PlacementRequest(
-        service=service,
+        service=str(service),
         profile=RequestProfile(
-            data_centre,
+            str(data_centre),
             prompt_parts,
-            prompt_tokens,
-            body_bytes,
-            gap_tolerant,
-            long_prompt,
+            int(prompt_tokens),
+            int(body_bytes),
+            bool(gap_tolerant),
+            bool(long_prompt),
         ),
-        tier=tier,
-        route_tier=route_tier,
+        tier=int(tier),
+        route_tier=int(route_tier),
         arrival_s=arrival_s,
         objective_s=objective_s,
         end_s=end_s,
         deadline_s=deadline_s,
         last_start_s=last_start_s,
-        streams=streams,
-        gap_sensitive_tokens=gap_sensitive_tokens,
-        excluded=frozenset(excluded),
-        regions=frozenset(regions),
+        streams=bool(streams),
+        gap_sensitive_tokens=int(gap_sensitive_tokens),
+        excluded=frozenset(map(str, excluded)),
+        regions=frozenset(map(str, regions)),
     )
 
 
+def _finite(value: Any) -> float:
+    """Return a number of a message.
+
+    Raises
+    ------
+    TypeError, ValueError
+        When it is not a finite number.
+    """
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"{value!r} is not finite")
+    return number
+
+
+def _decode_sender(fields: list[Any]) -> Sender:
+    name, incarnation = fields
+    return Sender(str(name), int(incarnation))
+
+
+def _decode_in_flight(fields: list[Any]) -> InFlightRequest:
+    number, endpoint, prefill_ms, gap_sensitive_tokens, started = fields
+    return InFlightRequest(
+        int(number),
+        str(endpoint),
+        _finite(prefill_ms),
+        int(gap_sensitive_tokens),
+        bool(started),
+    )
+
+
+def _decode_reply(kind: str, fields: list[Any]) -> Grant | Queued | Decline | None:
+    """Return the message of a coordinator, or None if it is of another kind."""
+    if kind == "grant":
+        number, endpoint, cost_ms, backlog_ms, prefill_ms, cached, reserved = fields
+        return Grant(
+            int(number),
+            str(endpoint),
+            _finite(cost_ms),
+            _finite(backlog_ms),
+            _finite(prefill_ms),
+            int(cached),
+            bool(reserved),
+        )
+    if kind == "hold":
+        (number,) = fields
+        return Queued(int(number))
+    if kind == "decline":
+        number, reason, draining = fields
+        return Decline(int(number), str(reason), bool(draining))
+    return None
+
+
+def _decode_submission(
+    kind: str, fields: list[Any], now_s: float
+) -> Submit | Started | Ended | Report | None:
+    """Return the message to a coordinator, or None if it is of another kind."""
+    sender = _decode_sender(fields[0])
+    if kind == "ask":
+        number, request = fields[1:]
+        return Submit(sender, int(number), _decode_request(request, now_s))
+    if kind == "start":
+        number, first_event_ms = fields[1:]
+        return Started(sender, int(number), _finite(first_event_ms))
+    if kind == "end":
+        number, success, failure_weight = fields[1:]
+        return Ended(sender, int(number), bool(success), _finite(failure_weight))
+    if kind == "work":
+        in_flight, pending = fields[1:]
+        return Report(
+            sender,
+            tuple(_decode_in_flight(request) for request in in_flight),
+            tuple(int(number) for number in pending),
+        )
+    return None
+
+
 def encode(message: Message, now_s: float) -> bytes:
     """Return the datagram of a message that is sent at ``now_s``."""
     if isinstance(message, Submit):
@@ -227,25 +304,9 @@
     """
     try:
         kind, *fields = orjson.loads(data)
-        if kind == "grant":
-            return Grant(*fields)
-        if kind == "hold":
-            return Queued(*fields)
-        if kind == "decline":
-            return Decline(*fields)
-        sender = Sender(*fields[0])
-        if kind == "ask":
-            return Submit(sender, fields[1], _decode_request(fields[2], now_s))
-        if kind == "start":
-            return Started(sender, *fields[1:])
-        if kind == "end":
-            return Ended(sender, *fields[1:])
-        if kind == "work":
-            return Report(
-                sender,
-                tuple(InFlightRequest(*request) for request in fields[1]),
-                tuple(fields[2]),
-            )
-    except (IndexError, TypeError, ValueError) as error:
+        message = _decode_reply(kind, fields) or _decode_submission(kind, fields, now_s)
+    except (IndexError, OverflowError, TypeError, ValueError) as error:
         raise MalformedMessageError(repr(error)) from error
-    raise MalformedMessageError(f"unknown message kind {kind!r}")
+    if message is None:
+        raise MalformedMessageError(f"unknown message kind {kind!r}")
+    return message
--- a/src/shallotroad/gateway/event_stream.py
+++ b/src/shallotroad/gateway/event_stream.py
@@ -5,9 +5,12 @@
 
 from __future__ import annotations
 
+from shallotroad.upstream.exceptions import MalformedResponseError
+
 
 EVENT_SEPARATOR = b"\n\n"
 ID_FIELD = b"id:"
+MAX_EVENT_BYTES = 1_048_576
 
 
 class EventStreamSplitter:
@@ -23,10 +26,20 @@
         self.started = False
 
     def feed(self, data: bytes) -> bytes:
-        """Add received bytes and return the events that are complete now."""
+        """Add received bytes and return the events that are complete now.
+
+        Raises
+        ------
+        MalformedResponseError
+            When an event exceeds ``MAX_EVENT_BYTES``.
+        """
         data = self._partial + data
         end = data.rfind(EVENT_SEPARATOR)
         if end < 0:
+            if len(data) > MAX_EVENT_BYTES:
+                raise MalformedResponseError(
+                    f"an event exceeds {MAX_EVENT_BYTES} bytes"
+                )
             self._partial = data
             return b""
         complete = data[: end + len(EVENT_SEPARATOR)]
@@ -43,6 +56,11 @@
         line = complete[start + len(ID_FIELD) :].split(b"\n", 1)[0]
         self.last_event_id = line.strip().decode("latin-1")
 
+    @property
+    def within_event(self) -> bool:
+        """Whether the bytes received so far end within an event."""
+        return bool(self._partial)
+
     def discard_partial(self) -> None:
         """Drop an incomplete event before another endpoint resumes the stream."""
         self._partial = b""
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -25,6 +25,7 @@
 from shallotroad.upstream.exceptions import ConnectError
 from shallotroad.upstream.exceptions import ConnectionLostError
 from shallotroad.upstream.exceptions import MalformedResponseError
+from shallotroad.upstream.response_body import read_body
 
 
 if TYPE_CHECKING:
@@ -49,6 +50,8 @@
 # attempts that may have run instead.
 MAX_TOTAL_ATTEMPTS = 4
 MIN_SERVER_ERROR_STATUS = 500
+# Limit of a response body that is not a stream; a larger one counts as malformed.
+MAX_BODY_BYTES = 8_388_608
 # Retry-After when the last attempt did not run and no retry is permitted: endpoints
 # that are full have room again after a few responses. It also applies to failed
 # connections.
@@ -492,13 +495,13 @@
         """
         head = await connection.head()
         if head.not_run:
-            await self._read_body(connection)
+            await read_body(connection, max_bytes=MAX_BODY_BYTES)
             progress.ended = True
             raise NotRunError(f"status {head.status}", sent=True)
         if head.encoded or not head.signed:
             raise MalformedResponseError(f"status {head.status} without a signature")
         if not (job.streams and head.status < 300):
-            body = await self._read_body(connection)
+            body = await read_body(connection, max_bytes=MAX_BODY_BYTES)
             progress.ended = True
             if head.length is not None and head.length != len(body):
                 raise ConnectionLostError(
@@ -536,12 +539,6 @@
             and self._clock() < job.end_s
         )
 
-    async def _read_body(self, connection: EndpointConnection) -> bytes:
-        chunks = []
-        while chunk := await connection.read():
-            chunks.append(chunk)
-        return b"".join(chunks)
-
     async def _forward_stream(
         self,
         job: Job,
@@ -562,9 +559,11 @@
         Raises
         ------
         ConnectionLostError
-            When the response does not have the announced length.
+            When the response does not have the announced length, or the connection
+            ends within an event and so may have been cut off.
         ConnectionLostError, MalformedResponseError
-            When the connection fails before the response is complete.
+            When the connection fails before the response is complete, or an event is
+            too large.
         """
         received_bytes = 0
         while chunk := await connection.read():
@@ -584,6 +583,8 @@
             raise ConnectionLostError(
                 "response stream does not have the announced length"
             )
+        if splitter.within_event and head.length is None and not head.chunked:
+            raise ConnectionLostError("the connection ended within an event")
         rest = splitter.flush()
         if not splitter.started:
             splitter.started = True
--- a/src/shallotroad/gateway/gossip.py
+++ b/src/shallotroad/gateway/gossip.py
@@ -74,7 +74,8 @@
 def decode_state(body: bytes) -> dict[str, Any]:
     """Return the state that a peer sent as compressed JSON.
 
-    The keys, those of ``encode_state``, are not checked.
+    The keys, those of ``encode_state``, are not checked; ``Membership.merge`` checks
+    the rows of the members.
 
     Raises
     ------
@@ -134,6 +135,8 @@
             When the body is malformed.
         """
         state = decode_state(body)
+        if not isinstance(state["revision"], int):
+            raise ValueError(f"revision {state['revision']!r} is not an integer")
         now_s = self._clock()
         for name in self._membership.merge(state["members"], now_s):
             log_event("peer found", peer=name)
--- a/src/shallotroad/gateway/membership.py
+++ b/src/shallotroad/gateway/membership.py
@@ -37,6 +37,7 @@
 CROSS_DATA_CENTRE_SHARE = 0.4
 # Peers needed in the gateway's own data centre before they are preferred.
 MIN_LOCAL_PEERS = 3
+MAX_PORTS = 65_536
 
 
 class Member(NamedTuple):
@@ -88,6 +89,33 @@
         ]
 
 
+def _decode_member(row: list[Any], now_s: float) -> Member:
+    """Return the member of a row as ``Member.to_row`` makes it.
+
+    Raises
+    ------
+    TypeError, ValueError
+        When the row has another number of fields, or one has no usable value.
+    """
+    name, address, incarnation, heartbeats, left, cores, port, centre = row
+    host, _, peer_port = str(address).rpartition(":")
+    if address and not (host and 0 < int(peer_port) < MAX_PORTS):
+        raise ValueError(f"{address!r} is not an address")
+    if not (0 <= int(port) < MAX_PORTS and 0 < float(cores) < math.inf):
+        raise ValueError(f"member {name!r} has port {port!r} and {cores!r} cores")
+    return Member(
+        name=str(name),
+        address=str(address),
+        incarnation=int(incarnation),
+        heartbeats=int(heartbeats),
+        last_seen_s=now_s,
+        left=bool(left),
+        cores=float(cores),
+        datagram_port=int(port),
+        data_centre=str(centre),
+    )
+
+
 def _counted_cores(member: Member, oldest_incarnation: int) -> float:
     """Return a member's cores, reduced for a newcomer and not yet rounded."""
     started_later = member.incarnation - oldest_incarnation > NEWCOMER_START_LAG_MS
@@ -262,30 +290,25 @@
 
         A row replaces the known one only if its incarnation is higher, or is the same
         with a higher heartbeat count. Rows about this gateway are ignored.
+
+        Raises
+        ------
+        TypeError, ValueError
+            When a row is malformed; then no row is merged.
         """
         new_names = []
-        for name, address, incarnation, heartbeats, left, cores, port, centre in rows:
-            if name == self.name:
+        for member in [_decode_member(row, now_s) for row in rows]:
+            if member.name == self.name:
                 continue
-            current = self._members.get(name)
+            current = self._members.get(member.name)
             if current is not None and (current.incarnation, current.heartbeats) >= (
-                incarnation,
-                heartbeats,
+                member.incarnation,
+                member.heartbeats,
             ):
                 continue
-            if current is None or current.incarnation != incarnation:
-                new_names.append(name)
-            self._members[name] = Member(
-                name=name,
-                address=address,
-                incarnation=incarnation,
-                heartbeats=heartbeats,
-                last_seen_s=now_s,
-                left=left,
-                cores=float(cores),
-                datagram_port=int(port),
-                data_centre=str(centre),
-            )
+            if current is None or current.incarnation != member.incarnation:
+                new_names.append(member.name)
+            self._members[member.name] = member
         return new_names
 
     def evict(self, now_s: float) -> list[str]:
--- a/src/shallotroad/upstream/http_client.py
+++ b/src/shallotroad/upstream/http_client.py
@@ -15,6 +15,7 @@
 from shallotroad.upstream.exceptions import ConnectionLostError
 from shallotroad.upstream.exceptions import MalformedResponseError
 from shallotroad.upstream.pool import ConnectionPool
+from shallotroad.upstream.response_body import read_body
 
 
 if TYPE_CHECKING:
@@ -31,27 +32,6 @@
     body: bytes
 
 
-async def read_complete(
-    connection: EndpointConnection, max_bytes: int = MAX_RESPONSE_BYTES
-) -> bytes:
-    """Return the rest of the body of the response that a connection receives.
-
-    Raises
-    ------
-    ConnectionLostError, MalformedResponseError
-        When the connection fails before the body is complete, or the body is larger
-        than ``max_bytes``.
-    """
-    chunks = []
-    size_bytes = 0
-    while chunk := await connection.read():
-        size_bytes += len(chunk)
-        if size_bytes > max_bytes:
-            raise MalformedResponseError(f"response body exceeds {max_bytes} bytes")
-        chunks.append(chunk)
-    return b"".join(chunks)
-
-
 def encode_call(method: str, address: str, target: str, body: bytes) -> bytes:
     """Return the head of a request, including the empty line at its end."""
     length = f"Content-Length: {len(body)}\r\n" if method == "POST" else ""
@@ -123,7 +103,7 @@
             head = encode_call(method, self._address, target, body)
             await connection.send("", head, body)
             response = await connection.head()
-            content = await read_complete(connection)
+            content = await read_body(connection, max_bytes=MAX_RESPONSE_BYTES)
             if response.length is not None and response.length != len(content):
                 raise ConnectionLostError("body does not have the announced length")
         except BaseException:
