Let two gateways a data centre read the store for the others

Ruled out: longer watches, which missed changes after a compaction. Change: the two best ranked gateways of a data centre read the store; the others hold a long poll at each of them, so that the loss of one delays nothing. A response states how long ago the store was heard from; a follower without a fresh reader reads for itself within the propagation bound. Sites that allow less than 3 s all read, as before.

--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -28,6 +28,9 @@
 from shallotroad.gateway.membership import Membership
 from shallotroad.gateway.metrics import GatewayMetrics
 from shallotroad.gateway.reload import Reloader
+from shallotroad.gateway.store_relay import WATCH_PATH
+from shallotroad.gateway.store_relay import StoreFollower
+from shallotroad.gateway.store_relay import StoreRelay
 from shallotroad.gateway.store_watcher import StoreWatcher
 from shallotroad.http_server.server import HttpServer
 from shallotroad.observability.event_log import flush_periodically
@@ -41,6 +44,8 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from shallotroad.http_server.connection import ServerRequest
+    from shallotroad.http_server.message import Response
     from shallotroad.platform.settings import InstanceSettings
 
 # The load balancer sends new connections until two health checks have failed.
@@ -69,6 +74,10 @@
         Gateways known by gossip, and which of them are live.
     store_watcher : StoreWatcher
         Applies changes of the store to the catalog.
+    store_relay : StoreRelay
+        Passes the store's changes on to gateways that follow this one.
+    store_follower : StoreFollower
+        Follows the gateways that read the store for this one.
     gossip : Gossip
         Exchanges membership and store documents with peers over HTTP.
     coordination_protocol : CoordinationProtocol
@@ -97,6 +106,8 @@
     endpoint_registry: EndpointRegistry
     membership: Membership
     store_watcher: StoreWatcher
+    store_relay: StoreRelay
+    store_follower: StoreFollower
     gossip: Gossip
     coordination_protocol: CoordinationProtocol
     coordinator: Coordinator
@@ -181,6 +192,15 @@
         metrics=metrics,
         clock=clock,
     )
+    store_relay = StoreRelay(store_watcher=store_watcher, clock=clock)
+    store_follower = StoreFollower(
+        membership=membership,
+        store_watcher=store_watcher,
+        clock=clock,
+        rng=rng,
+        propagation_s=settings.bounds.propagation_s,
+    )
+    store_watcher.reads_store = store_follower.reads_store
     gossip = Gossip(
         membership=membership, store_watcher=store_watcher, clock=clock, rng=rng
     )
@@ -191,6 +211,8 @@
         endpoint_registry,
         membership,
         store_watcher,
+        store_relay,
+        store_follower,
         gossip,
         coordination_protocol,
         coordinator,
@@ -203,6 +225,19 @@
     )
 
 
+def make_peer_handler(
+    components: Components,
+) -> Callable[[ServerRequest], Awaitable[Response]]:
+    """Return the handler of the listener for other gateways."""
+
+    async def handle(request: ServerRequest) -> Response:
+        if request.path == WATCH_PATH:
+            return await components.store_relay.handle(request)
+        return await components.gossip.handle(request)
+
+    return handle
+
+
 async def serve(
     settings: InstanceSettings,
     caller_listener: socket.socket,
@@ -235,7 +270,7 @@
         (HttpServer(handler=status_handler), open_listener(settings.readiness)),
     ]
     if settings.peers is not None:
-        peer_server = HttpServer(handler=components.gossip.handle)
+        peer_server = HttpServer(handler=make_peer_handler(components))
         listeners.append((peer_server, open_listener(settings.peers)))
     if settings.metrics is not None:
         metrics_server = HttpServer(handler=status_handler)
@@ -253,6 +288,7 @@
             components.store_watcher.evict_missing_periodically,
             components.admission.dispatch_periodically,
             components.gossip.exchange_periodically,
+            components.store_follower.follow_periodically,
             components.placement_client.report_periodically,
             components.coordinator.evict_timed_out_periodically,
             reloader.reload_periodically,
--- a/src/shallotroad/gateway/gossip.py
+++ b/src/shallotroad/gateway/gossip.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import zlib
 from typing import TYPE_CHECKING
 from typing import Any
@@ -16,10 +15,11 @@
 import orjson
 from loguru import logger
 
+from shallotroad.gateway.store_relay import documents_to_rows
+from shallotroad.gateway.store_relay import rows_to_documents
 from shallotroad.http_server.exceptions import BodyTooLargeError
 from shallotroad.http_server.message import Response
 from shallotroad.observability.event_log import log_event
-from shallotroad.platform.documents import Document
 from shallotroad.upstream.exceptions import CallFailedError
 from shallotroad.upstream.http_client import HttpClient
 
@@ -44,24 +44,6 @@
 MAX_STATE_BYTES = 1_000_000  # About ten thousand members.
 
 
-def _documents_to_rows(documents: list[Document]) -> list[list[Any]]:
-    return [
-        [
-            d.key,
-            d.revision,
-            None if d.value is None else base64.b64encode(d.value).decode(),
-        ]
-        for d in documents
-    ]
-
-
-def _rows_to_documents(rows: list[list[Any]]) -> list[Document]:
-    return [
-        Document(key, revision, None if value is None else base64.b64decode(value))
-        for key, revision, value in rows
-    ]
-
-
 def encode_state(state: dict[str, Any]) -> bytes:
     """Return a gateway's state as compressed JSON.
 
@@ -158,7 +140,7 @@
         if request.path == SNAPSHOT_PATH:
             after = request.target.partition("?after=")[2]
             revision = int(after) if after.isdigit() else -1
-            rows = _documents_to_rows(self._store_watcher.snapshot(revision))
+            rows = documents_to_rows(self._store_watcher.snapshot(revision))
             return Response(200, body=orjson.dumps(rows))
         return Response(404)
 
@@ -205,7 +187,7 @@
         result = await client.call(
             "GET", f"{SNAPSHOT_PATH}?after={revision}", timeout_s=EXCHANGE_TIMEOUT_S
         )
-        documents = _rows_to_documents(orjson.loads(result.body))
+        documents = rows_to_documents(orjson.loads(result.body))
         log_event("documents taken from a peer", peer=address, n=len(documents))
         for document in documents:
             self._store_watcher.apply(document)
--- a/src/shallotroad/gateway/membership.py
+++ b/src/shallotroad/gateway/membership.py
@@ -125,8 +125,8 @@
 
 
 @lru_cache(maxsize=8_192)
-def _rendezvous_weight(service: str, name: str) -> bytes:
-    return hashlib.blake2b(f"{service} {name}".encode(), digest_size=8).digest()
+def _rendezvous_weight(key: str, name: str) -> bytes:
+    return hashlib.blake2b(f"{key} {name}".encode(), digest_size=8).digest()
 
 
 class Membership:
@@ -225,6 +225,22 @@
         """
         return 2 * len(self.live_names(now_s)) > len(self._members)
 
+    def peer_address(self, name: str) -> str | None:
+        """Return the ``HOST:PORT`` of a member; None when it is not known."""
+        member = self._members.get(name)
+        return member.address or None if member is not None else None
+
+    def _active_members(self, now_s: float) -> list[Member]:
+        """Return the live members, and this gateway unless it is draining."""
+        members = [
+            member
+            for member in self._members.values()
+            if not member.left and now_s - member.last_seen_s < MEMBER_TIMEOUT_S
+        ]
+        if not self._left:
+            members.append(self._own_member())
+        return members
+
     def rank_coordinators(self, service: str, now_s: float) -> list[str]:
         """Return the gateways that may coordinate a service, the preferred one first.
 
@@ -232,13 +248,19 @@
         be empty. Members that have just started come last, members with more cores come
         earlier, and ties are broken by rendezvous hashing.
         """
-        members = [
+        return self._rank(service, self._active_members(now_s))
+
+    def rank_local_members(self, now_s: float) -> list[str]:
+        """Return the gateways of the own data centre, ranked like coordinators."""
+        local = [
             member
-            for member in self._members.values()
-            if not member.left and now_s - member.last_seen_s < MEMBER_TIMEOUT_S
+            for member in self._active_members(now_s)
+            if member.data_centre == self._data_centre
         ]
-        if not self._left:
-            members.append(self._own_member())
+        return self._rank(self._data_centre, local)
+
+    def _rank(self, key: str, members: list[Member]) -> list[str]:
+        """Return the names of members in the order that a key's hashing gives."""
         if not members:
             return []
         oldest = min(member.incarnation for member in members)
@@ -246,7 +268,7 @@
             key=lambda member: (
                 member.heartbeats >= MIN_COORDINATOR_HEARTBEATS,
                 round(_counted_cores(member, oldest) / CORES_STEP),
-                _rendezvous_weight(service, member.name),
+                _rendezvous_weight(key, member.name),
             ),
             reverse=True,
         )
--- /dev/null
+++ b/src/shallotroad/gateway/store_relay.py
@@ -0,0 +1,328 @@
+"""Passes changes of the store from few gateways that read it to all others.
+
+In each data centre, ``READERS_PER_DATA_CENTRE`` gateways watch the store. The others
+follow them: a follower holds one long poll at each reader, which returns as soon as the
+reader knows of a change or has heard from the store again. So one reader may be lost
+without delaying any news, and the number of calls to the store does not grow with the
+number of gateways.
+
+Each response states how long ago its sender last heard from the store, directly or
+through others. A follower whose readers can't be reached, or have not heard from the
+store for too long, reads the store itself until they have.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import math
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+from typing import Protocol
+
+import orjson
+from loguru import logger
+
+from shallotroad.http_server.message import Response
+from shallotroad.observability.event_log import log_event
+from shallotroad.platform.documents import Document
+from shallotroad.upstream.exceptions import CallFailedError
+from shallotroad.upstream.http_client import HttpClient
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from shallotroad.gateway.membership import Membership
+    from shallotroad.gateway.store_watcher import StoreWatcher
+    from shallotroad.http_server.connection import ServerRequest
+    from shallotroad.upstream.http_client import CallResult
+
+WATCH_PATH = "/watch"
+READERS_PER_DATA_CENTRE = 2
+# Part of the time in which a change must be in force that is kept for a gateway's own
+# call to the store, after its readers were found out of touch.
+OWN_READ_RESERVE_S = 0.8
+# Gateways follow readers only if changes may take at least this long.
+MIN_PROPAGATION_S = 3.0
+# Followers that lose their readers together read the store within this time.
+MAX_SPREAD_S = 0.2
+# Added to the wait of a poll for the network and a busy reader.
+POLL_RESPONSE_TIMEOUT_S = 0.5
+POLL_WAIT_MS = 2_500
+CONNECT_TIMEOUT_S = 0.3
+RETRY_DELAY_S = 0.3
+HTTP_OK = 200
+
+
+class RelayedBatch(NamedTuple):
+    """News of the store from a peer.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the store up to which the sender knows all changes; -1 if it does
+        not know.
+    connected : bool
+        Whether the sender's latest call to the store, or its readers', succeeded.
+    contact_age_s : float
+        Time since the store was last heard from.
+    removal_delay_s : float
+        Remaining time for which the sender keeps endpoints without a registration.
+    documents : list of Document
+        The documents that changed after the revision asked for.
+    """
+
+    revision: int
+    connected: bool
+    contact_age_s: float
+    removal_delay_s: float
+    documents: list[Document]
+
+
+def documents_to_rows(documents: list[Document]) -> list[list[Any]]:
+    """Return documents as JSON data; the value of a removal is None."""
+    return [
+        [
+            d.key,
+            d.revision,
+            None if d.value is None else base64.b64encode(d.value).decode(),
+        ]
+        for d in documents
+    ]
+
+
+def rows_to_documents(rows: list[list[Any]]) -> list[Document]:
+    """Return the documents of rows as ``documents_to_rows`` makes them.
+
+    Raises
+    ------
+    TypeError, ValueError
+        When a row is malformed.
+    """
+    return [
+        Document(str(key), int(rev), None if value is None else base64.b64decode(value))
+        for key, rev, value in rows
+    ]
+
+
+def encode_batch(batch: RelayedBatch) -> bytes:
+    """Return the body of a response to a poll."""
+    return orjson.dumps(
+        [
+            batch.revision,
+            batch.connected,
+            batch.contact_age_s,
+            batch.removal_delay_s,
+            documents_to_rows(batch.documents),
+        ]
+    )
+
+
+def decode_batch(body: bytes) -> RelayedBatch:
+    """Return the batch of a response body.
+
+    Raises
+    ------
+    TypeError, ValueError
+        When the body is malformed.
+    """
+    revision, connected, age_s, removal_delay_s, rows = orjson.loads(body)
+    if float(age_s) < 0 or not 0 <= float(removal_delay_s) < math.inf:
+        raise ValueError(f"contact age {age_s!r}, removal delay {removal_delay_s!r}")
+    return RelayedBatch(
+        int(revision),
+        bool(connected),
+        float(age_s),
+        float(removal_delay_s),
+        rows_to_documents(rows),
+    )
+
+
+class StoreRelay:
+    """Responds to the polls of followers."""
+
+    def __init__(
+        self, *, store_watcher: StoreWatcher, clock: Callable[[], float]
+    ) -> None:
+        self._store_watcher = store_watcher
+        self._clock = clock
+
+    async def handle(self, request: ServerRequest) -> Response:
+        """Respond with the changes after a revision.
+
+        Without any, wait at most as long as the query says for a change or for a sign
+        of the store.
+        """
+        query = request.target.partition("?")[2]
+        after_text, _, wait_text = query.partition("&")
+        try:
+            after = int(after_text)
+            wait_s = min(POLL_WAIT_MS, int(wait_text)) / 1000
+        except ValueError:
+            return Response(400)
+        if self._store_watcher.revision <= after:
+            await self._store_watcher.wait_for_news(wait_s)
+        return Response(200, body=encode_batch(self._batch(after)))
+
+    def _batch(self, after: int) -> RelayedBatch:
+        watcher = self._store_watcher
+        return RelayedBatch(
+            watcher.revision,
+            watcher.connected,
+            round(self._clock() - watcher.last_contact_s, 3),
+            round(watcher.removal_delay_s(), 3),
+            watcher.snapshot(after),
+        )
+
+
+class PeerClient(Protocol):
+    """Calls one peer; ``HttpClient`` in a gateway."""
+
+    async def call(self, method: str, target: str, *, timeout_s: float) -> CallResult:
+        """Return the response of the peer."""
+
+    def close(self) -> None:
+        """Close the idle connections."""
+
+
+def _make_peer_client(address: str) -> PeerClient:
+    return HttpClient(address=address, connect_timeout_s=CONNECT_TIMEOUT_S)
+
+
+class StoreFollower:
+    """Follows the readers of this gateway's data centre.
+
+    Parameters
+    ----------
+    propagation_s : float
+        Time in which a change of the store must be in force.
+    make_client : callable
+        Returns a client for the address of a peer.
+    """
+
+    def __init__(
+        self,
+        *,
+        membership: Membership,
+        store_watcher: StoreWatcher,
+        clock: Callable[[], float],
+        rng: Random,
+        propagation_s: float,
+        make_client: Callable[[str], PeerClient] = _make_peer_client,
+    ) -> None:
+        self._membership = membership
+        self._make_client = make_client
+        self._store_watcher = store_watcher
+        self._clock = clock
+        self._spread_s = rng.uniform(0.0, MAX_SPREAD_S)
+        self._enabled = propagation_s >= MIN_PROPAGATION_S
+        self._max_age_s = propagation_s - OWN_READ_RESERVE_S
+        self._contact_s = -math.inf
+        self._reachable = [False] * READERS_PER_DATA_CENTRE
+        self._unreachable_since_s = -math.inf
+        self._following = False
+
+    def readers(self) -> list[str]:
+        """Return the gateways of the own data centre that read the store."""
+        return self._membership.rank_local_members(self._clock())[
+            :READERS_PER_DATA_CENTRE
+        ]
+
+    def reads_store(self) -> bool:
+        """Return whether this gateway has to read the store itself now."""
+        reads = self._must_read()
+        if reads == self._following:
+            self._following = not reads
+            log_event(
+                "store is read here" if reads else "store is followed",
+                readers=self.readers(),
+                contact_age_s=round(min(999.0, self._clock() - self._contact_s), 2),
+            )
+        return reads
+
+    def _must_read(self) -> bool:
+        if not self._enabled or self._membership.name in self.readers():
+            return True
+        now_s = self._clock()
+        if not any(self._reachable):
+            return now_s - self._unreachable_since_s > self._spread_s
+        return now_s - self._contact_s > self._max_age_s + self._spread_s
+
+    async def follow_periodically(self) -> None:
+        """Poll the readers until cancelled, each in a task of its own."""
+        async with asyncio.TaskGroup() as tasks:
+            for slot in range(READERS_PER_DATA_CENTRE):
+                tasks.create_task(self._follow_slot(slot))
+
+    def _reader_address(self, slot: int) -> str | None:
+        """Return the address of a slot's reader; None if this gateway is a reader."""
+        readers = self.readers()
+        if (
+            not self._enabled
+            or self._membership.name in readers
+            or slot >= len(readers)
+            or self._store_watcher.revision < 0
+        ):
+            return None
+        return self._membership.peer_address(readers[slot])
+
+    async def _follow_slot(self, slot: int) -> None:
+        client: PeerClient | None = None
+        address: str | None = None
+        try:
+            while True:
+                current = self._reader_address(slot)
+                if current != address:
+                    address = current
+                    self._set_reachable(slot, reachable=False)
+                    if client is not None:
+                        client.close()
+                    client = None
+                if address is None:
+                    await asyncio.sleep(RETRY_DELAY_S)
+                    continue
+                if client is None:
+                    client = self._make_client(address)
+                if not await self._poll(slot, client):
+                    await asyncio.sleep(RETRY_DELAY_S)
+        finally:
+            if client is not None:
+                client.close()
+
+    async def _poll(self, slot: int, client: PeerClient) -> bool:
+        """Poll a reader once; return whether it is in touch with the store.
+
+        The first poll does not wait, so that it shows at once what the reader knows.
+        """
+        wait_ms = POLL_WAIT_MS if self._reachable[slot] else 0
+        try:
+            result = await client.call(
+                "GET",
+                f"{WATCH_PATH}?{self._store_watcher.revision}&{wait_ms}",
+                timeout_s=wait_ms / 1000 + POLL_RESPONSE_TIMEOUT_S,
+            )
+            if result.status != HTTP_OK:
+                raise CallFailedError(f"status {result.status}")
+            batch = decode_batch(result.body)
+        except (CallFailedError, TypeError, ValueError) as error:
+            logger.bind(why=repr(error)).info("reader of the store not reached")
+            self._set_reachable(slot, reachable=False)
+            return False
+        in_touch = (
+            batch.connected
+            and batch.revision >= 0
+            and batch.contact_age_s <= self._max_age_s
+        )
+        if in_touch:
+            self._contact_s = max(self._contact_s, self._clock() - batch.contact_age_s)
+        self._store_watcher.apply_relayed(batch, in_touch=in_touch)
+        self._set_reachable(slot, reachable=in_touch)
+        return in_touch
+
+    def _set_reachable(self, slot: int, *, reachable: bool) -> None:
+        if any(self._reachable) and not reachable:
+            self._unreachable_since_s = self._clock()
+        self._reachable[slot] = reachable
--- a/src/shallotroad/gateway/store_watcher.py
+++ b/src/shallotroad/gateway/store_watcher.py
@@ -1,8 +1,9 @@
 """Keeps the catalog up to date with the platform's store.
 
 The watcher lists all documents once and then watches for changes by long polling. While
-the store can't be read, gossip adds documents that peers have. Of each key, the newest
-revision is kept, removals included.
+the store can't be read, gossip adds documents that peers have. While other gateways
+read it for this one (``store_relay.py``), it makes no calls itself. Of each key, the
+newest revision is kept, removals included.
 """
 
 from __future__ import annotations
@@ -29,6 +30,7 @@
     from collections.abc import Callable
 
     from shallotroad.catalog.catalog import Catalog
+    from shallotroad.gateway.store_relay import RelayedBatch
     from shallotroad.platform.store import DocumentBatch
     from shallotroad.platform.store import StoreClient
 
@@ -52,6 +54,8 @@
 # again are removed. Endpoints whose registration lapsed register within about two
 # seconds.
 REREGISTRATION_TIMEOUT_S = 2.2
+# How often a gateway that does not read the store checks whether it has to.
+READ_CHECK_INTERVAL_S = 0.1
 
 
 class StoreWatcher:
@@ -62,10 +66,13 @@
     revision : int
         Revision up to which the store was read; -1 while a new list is needed.
     connected : bool
-        False at the start, and after a failed call to the store until one succeeds.
+        False at the start, and after a failed call to the store until one succeeds,
+        here or at a gateway that reads it for this one.
     last_contact_s : float
         When a call to the store last succeeded, monotonic time in seconds; 0 before
         the first.
+    reads_store : callable
+        Returns whether this gateway has to read the store itself.
     """
 
     def __init__(
@@ -87,6 +94,9 @@
         self.connected = False
         self.last_contact_s = 0.0
         self._reconnected_s = -REREGISTRATION_TIMEOUT_S
+        self._must_read_once = False
+        self._news = asyncio.Event()
+        self.reads_store: Callable[[], bool] = lambda: True
 
     def snapshot(self, after: int) -> list[Document]:
         """Return the documents newer than revision ``after``, removals included."""
@@ -97,6 +107,45 @@
         """Newest revision among the known documents; -1 when there are none."""
         return self._known_revision
 
+    async def wait_for_news(self, timeout_s: float) -> None:
+        """Wait for a change, or for the success or failure of a call to the store."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._news.wait()
+        except TimeoutError:
+            return
+
+    def _announce_news(self) -> None:
+        self._news.set()
+        self._news = asyncio.Event()
+
+    def removal_delay_s(self) -> float:
+        """Return for how long endpoints without a registration are still kept."""
+        return max(0.0, self._removal_time_s() - self._clock())
+
+    def apply_relayed(self, batch: RelayedBatch, *, in_touch: bool) -> None:
+        """Apply the news that another gateway has of the store.
+
+        ``in_touch`` says that the other one has heard from the store recently, so that
+        this gateway counts as connected too.
+        """
+        now_s = self._clock()
+        if batch.removal_delay_s:
+            self._reconnected_s = max(
+                self._reconnected_s,
+                now_s + batch.removal_delay_s - REREGISTRATION_TIMEOUT_S,
+            )
+        if in_touch:
+            contact_s = max(self.last_contact_s, now_s - batch.contact_age_s)
+            self._record_contact(contact_s)
+        for document in batch.documents:
+            self.apply(document)
+        if batch.revision > self.revision >= 0:
+            self.revision = batch.revision
+        if self.revision >= self._known_revision:
+            self._behind_since_s = None
+        self._announce_news()
+
     def _removal_time_s(self) -> float:
         """Return the earliest monotonic time to remove an unregistered endpoint.
 
@@ -210,11 +259,12 @@
                 self.apply(Document(key, batch.revision, None))
 
     def observe_peer_revision(self, revision: int) -> None:
-        """Abort a watch that has not returned a revision that a peer knows.
+        """Read the store anew when a peer knows a revision that is unknown here.
 
-        The watch is aborted ``STALE_WATCH_TIMEOUT_S`` after a peer was first found
-        ahead, and only once per revision: a peer that read a complete list records
-        removals under the revision of the list, which no watch returns.
+        A watch is aborted, or begun if others read the store for this gateway,
+        ``STALE_WATCH_TIMEOUT_S`` after a peer was first found ahead, and only once per
+        revision: a peer that read a complete list records removals under the revision
+        of the list, which no watch returns.
         """
         if revision <= max(
             self._known_revision, self.revision, self._aborted_for_revision
@@ -223,13 +273,14 @@
         now_s = self._clock()
         if self._behind_since_s is None:
             self._behind_since_s = now_s
-        elif (
-            now_s - self._behind_since_s >= STALE_WATCH_TIMEOUT_S
-            and self._watch_timeout is not None
-        ):
+        elif now_s - self._behind_since_s >= STALE_WATCH_TIMEOUT_S:
+            if self._watch_timeout is not None:
+                self._watch_timeout.reschedule(asyncio.get_running_loop().time())
+            elif self._must_read_once or self.reads_store():
+                return  # Between two calls; the next one may bring the revision.
+            self._must_read_once = True
             self._behind_since_s = None
             self._aborted_for_revision = revision
-            self._watch_timeout.reschedule(asyncio.get_running_loop().time())
 
     async def run(self) -> None:
         """List and watch the store until cancelled.
@@ -240,18 +291,23 @@
         backoff_s = MIN_BACKOFF_S
         batch_delay_s = BATCH_DELAY_S
         while True:
+            if self.revision >= 0 and not (self._must_read_once or self.reads_store()):
+                await asyncio.sleep(READ_CHECK_INTERVAL_S)
+                continue
             try:
                 if self.revision < 0:
                     batch = await self._store.list_documents()
-                    self._record_contact()
+                    self._record_contact(self._clock())
                     self.apply_list(batch)
                 else:
                     batch = await self._watch()
-                    self._record_contact()
+                    self._record_contact(self._clock())
                     for document in batch.documents:
                         self.apply(document)
                 self.revision = max(self.revision, batch.revision)
+                self._must_read_once = False
                 self._behind_since_s = None
+                self._announce_news()
                 backoff_s = MIN_BACKOFF_S
                 await asyncio.sleep(batch_delay_s)
                 batch_delay_s = min(MAX_BATCH_DELAY_S, 2 * batch_delay_s)
@@ -295,15 +351,16 @@
             if self.connected:
                 self._catalog.evict_missing(self._clock())
 
-    def _record_contact(self) -> None:
-        self.last_contact_s = self._clock()
+    def _record_contact(self, contact_s: float) -> None:
+        self.last_contact_s = contact_s
         if not self.connected:
             self.connected = True
             if self._documents:
-                self._reconnected_s = self.last_contact_s
+                self._reconnected_s = self._clock()
             log_event("store reached", revision=self.revision)
 
     def _record_outage(self, error: StoreUnavailableError) -> None:
         if self.connected:
             self.connected = False
             log_event("store lost", revision=self.revision, why=str(error))
+            self._announce_news()
--- a/src/shallotroad/platform/settings.py
+++ b/src/shallotroad/platform/settings.py
@@ -49,6 +49,8 @@
         Prefix reuse window: for this long after a prompt part was placed on any engine,
         the choice of an engine for another prompt counts it as cached by some engine.
         An engine that does not have the part cached then costs more.
+    propagation_s : float
+        Time after a change of the store within which every gateway must act on it.
     """
 
     grace_s: float = 8.0
@@ -56,6 +58,7 @@
     retry_window_s: float = 10.0
     retry_slack: float = 50.0
     prefix_reuse_s: float = 10.0
+    propagation_s: float = 2.0
 
 
 class InstanceSettings(NamedTuple):
@@ -148,6 +151,10 @@
         retry_slack=float(table.get("budget-slack", defaults.retry_slack)),
         # "again-s" is the prefix reuse window.
         prefix_reuse_s=float(table.get("again-s", defaults.prefix_reuse_s)),
+        propagation_s=float(
+            table.get("config-propagation-ms", 1000 * defaults.propagation_s)
+        )
+        / 1000,
     )
 
 
