--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -26,6 +26,8 @@
 
 from shallotroad.gateway.exceptions import RefusedError
 from shallotroad.observability.event_log import log_event
+from shallotroad.policy.endpoint_load import decode_share
+from shallotroad.policy.endpoint_load import prefill_share
 from shallotroad.policy.placement import EngineView
 from shallotroad.policy.placement import Placement
 from shallotroad.policy.placement import rank_engines
@@ -56,9 +58,9 @@
 # debt.
 PREFILL_DEBT_GROWTH = 0.6
 # A gap-tolerant prompt is not placed on a shared engine with more prefill debt than
-# this. Prefill debt is the prefill time placed on an engine beyond PREFILL_SHARE of the
-# time that passed (EndpointLoad.debt_ms); unlike the backlog, it does not end with the
-# first events.
+# this. Prefill debt is the prefill time placed on an engine beyond its prefill share of
+# the time that passed (EndpointLoad.debt_ms); unlike the backlog, it does not end with
+# the first events.
 MAX_PREFILL_DEBT_MS = 400.0
 # The backlog limit is at most this share of the request's objective; with a longer
 # backlog, another engine or further queueing gives an earlier first event.
@@ -79,6 +81,8 @@
 # placed; the rest of the queue comes later in its order and is not tried.
 MAX_UNPLACED_PER_ROUND = 32
 MAX_QUEUED = 2_000
+# Weight of a new request in the moving average of a service's decode share.
+DECODE_SHARE_SAMPLE_WEIGHT = 0.1
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 3.0
 # Retry-After as a share of the time left to the deadline; callers wait for at most a
@@ -188,6 +192,7 @@
         self._gateways_for_cold_start = gateways_for_cold_start
         self._clock = clock
         self._recent_parts = RecentParts()
+        self._decode_shares: dict[str, float] = {}
         self._queue: list[QueuedPlacement] = []
         self._dispatch_timer: asyncio.TimerHandle | None = None
         endpoint_registry.on_changed = self.schedule_dispatch
@@ -213,6 +218,8 @@
             When no endpoint may serve the request, or the queue is full.
         """
         now_s = self._clock()
+        if request.profile.gap_tolerant:
+            self._update_prefill_shares(request)
         if self._dispatch_timer is not None:
             self.dispatch_queued()  # queued requests may be more urgent
         placement = self._try_place(
@@ -232,6 +239,20 @@
         self._queue.append(queued)
         return queued
 
+    def _update_prefill_shares(self, request: PlacementRequest) -> None:
+        """Let a gap-tolerant request count in the prefill shares of its engines.
+
+        The time that answers need is averaged over the service's requests.
+        """
+        sample = decode_share(
+            request.expected_tokens, request.end_s - request.objective_s
+        )
+        average = self._decode_shares.get(request.service, sample)
+        average += DECODE_SHARE_SAMPLE_WEIGHT * (sample - average)
+        self._decode_shares[request.service] = average
+        for load in self._endpoint_registry.active_loads(request.service):
+            load.prefill_share = prefill_share(average)
+
     def record_surveyed_parts(self, parts: Sequence[PromptPart]) -> None:
         """Count parts that a cache survey found in some engine as used now.
 
@@ -449,14 +470,16 @@
 
     A gap-tolerant request may use a reserved engine only after
     ``RESERVED_AFTER_OBJECTIVE_SHARE`` of its objective, and only if that engine
-    has no backlog and at most ``MAX_RUNNING_ON_RESERVED`` requests in flight. On a
+    has no backlog, no prefill debt and at most ``MAX_RUNNING_ON_RESERVED`` requests in
+    flight. On a
     shared engine its prefill debt is limited as well as the backlog.
     """
     waited_ms = (now_s - request.arrival_s) * 1000
     gap_tolerant = request.profile.gap_tolerant
     if gap_tolerant and view.reserved:
         late = waited_ms > RESERVED_AFTER_OBJECTIVE_SHARE * request.objective_ms
-        return late and view.backlog_ms <= 0 and view.running <= MAX_RUNNING_ON_RESERVED
+        idle = view.backlog_ms <= 0 and view.debt_ms <= 0
+        return late and idle and view.running <= MAX_RUNNING_ON_RESERVED
     if (
         gap_tolerant
         and view.debt_ms > MAX_PREFILL_DEBT_MS + PREFILL_DEBT_GROWTH * waited_ms
--- a/src/shallotroad/gateway/coordination/messages.py
+++ b/src/shallotroad/gateway/coordination/messages.py
@@ -155,6 +155,7 @@
         request.gap_sensitive_tokens,
         sorted(request.excluded),
         sorted(request.regions),
+        request.expected_tokens,
     ]
 
 
@@ -170,7 +171,9 @@
         tier,
         route_tier,
     ) = fields[:9]
-    offsets_ms, streams, gap_sensitive_tokens, excluded, regions = fields[9:]
+    offsets_ms, streams, gap_sensitive_tokens, excluded, regions = fields[9:14]
+    # Gateways of earlier versions do not send the expected tokens.
+    expected_tokens = fields[14] if len(fields) > 14 else 1
     times = [now_s + _finite(offset_ms) / MS_PER_S for offset_ms in offsets_ms]
     arrival_s, objective_s, end_s, deadline_s, last_start_s = times
     prompt_parts = tuple(
@@ -197,6 +200,7 @@
         gap_sensitive_tokens=int(gap_sensitive_tokens),
         excluded=frozenset(map(str, excluded)),
         regions=frozenset(map(str, regions)),
+        expected_tokens=int(expected_tokens),
     )
 
 
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -221,6 +221,8 @@
         OutcomeUnknownError
             When no endpoint is available and an attempt may have run; status 502.
         """
+        if splitter is not None and splitter.started:
+            job.interrupted_s = self._clock()
         try:
             return await self._placement_client.place(job)
         except RefusedError:
--- a/src/shallotroad/gateway/job.py
+++ b/src/shallotroad/gateway/job.py
@@ -5,6 +5,9 @@
 from typing import TYPE_CHECKING
 
 from shallotroad.catalog.configuration import RouteKind
+from shallotroad.policy.endpoint_load import decode_share
+from shallotroad.policy.endpoint_load import expected_answer_s
+from shallotroad.policy.endpoint_load import prefill_share
 from shallotroad.policy.placement import RequestProfile
 from shallotroad.policy.placement import decode_stall_threshold_tokens
 from shallotroad.policy.placement_request import PlacementRequest
@@ -17,9 +20,15 @@
     from shallotroad.platform.headers import CallerRequest
 
 
-# Share of the remaining time that a job may wait for an endpoint; the other half is for
-# the response.
+# Share of the remaining time that a job may wait for an endpoint; the rest is for the
+# response, and more of it for the many events of a stream.
 MAX_WAIT_SHARE = 0.5
+MAX_STREAM_WAIT_SHARE = 0.25
+# Any job may wait this long, so that at least one engine is asked for.
+MIN_WAIT_S = 0.3
+# A stream may wait for an engine for at least this share of its objective, also if its
+# answer might then not be whole in time: engines with few streams are faster.
+MIN_WAIT_OBJECTIVE_SHARE = 0.5
 # By the protocol, callers leave a stream that stays silent for the longest of
 # MIN_CALLER_TIMEOUT_S, CALLER_TIMEOUT_OBJECTIVES times the route's objective and
 # CALLER_TIMEOUT_EVENT_GAPS times the route's longest event gap.
@@ -40,7 +49,8 @@
 
     All times are monotonic, in seconds. ``attempts`` lists the endpoints that
     were tried, ``placement_inputs`` the figures behind each choice, for the log.
-    ``possible_runs`` counts the attempts that may have run.
+    ``possible_runs`` counts the attempts that may have run. ``interrupted_s`` is when
+    a stream that has started was last interrupted; None before.
 
     A job lasts until the request has its response. Whenever it needs an endpoint, a
     ``PlacementRequest`` is made from it, which has only what the choice of an endpoint
@@ -101,6 +111,7 @@
         self.attempts: list[str] = []
         self.placement_inputs: list[dict[str, object]] = []
         self.possible_runs = 0
+        self.interrupted_s: float | None = None
         self.waited_ms = 0.0
 
     def _is_long_prompt(self, min_event_gap_limit_ms: float) -> bool:
@@ -121,20 +132,38 @@
         """Return the latest time at which it may start at an endpoint.
 
         For a stream it is also bounded by the caller's timeout for a silent
-        stream, which can end long before the deadline.
+        stream, which can end long before the deadline, and by the time that its answer
+        takes at an engine that is busy with prefill.
         """
-        latest_s = now_s + MAX_WAIT_SHARE * (self.end_s - now_s)
         if not self.streams:
-            return latest_s
+            return now_s + MAX_WAIT_SHARE * (self.end_s - now_s)
+        latest_s = now_s + MAX_STREAM_WAIT_SHARE * (self.end_s - now_s)
+        if self.interrupted_s is None:
+            whole_answer_s = self._last_start_for_whole_answer_s()
+            latest_s = min(latest_s, max(now_s + MIN_WAIT_S, whole_answer_s))
         caller_timeout_s = max(
             MIN_CALLER_TIMEOUT_S,
             CALLER_TIMEOUT_OBJECTIVES * self.route.objective_ms / 1000,
             CALLER_TIMEOUT_EVENT_GAPS * self.route.max_event_gap_ms / 1000,
         )
+        silent_since_s = self.interrupted_s or self.arrival_s
         return min(
-            latest_s, self.arrival_s + MAX_WAIT_CALLER_TIMEOUT_SHARE * caller_timeout_s
+            latest_s, silent_since_s + MAX_WAIT_CALLER_TIMEOUT_SHARE * caller_timeout_s
         )
 
+    def _last_start_for_whole_answer_s(self) -> float:
+        """Return the latest start with which the answer can be whole in time.
+
+        A request that starts later would be cut off by its deadline after its prefill
+        and most of its answer have taken the time of other requests.
+        """
+        if self.service.engine is None:
+            return self.end_s
+        needed = decode_share(self.expected_tokens, self.end_s - self.objective_s)
+        answer_s = expected_answer_s(self.expected_tokens, prefill_share(needed))
+        min_wait_s = MIN_WAIT_OBJECTIVE_SHARE * (self.objective_s - self.arrival_s)
+        return max(self.arrival_s + min_wait_s, self.end_s - answer_s)
+
     def placement_request(
         self, now_s: float, unusable: frozenset[str] = frozenset()
     ) -> PlacementRequest:
@@ -158,7 +187,7 @@
             tier=self.tier,
             route_tier=self.route.tier,
             arrival_s=self.arrival_s,
-            objective_s=self.objective_s,
+            objective_s=self._next_event_due_s,
             end_s=self.end_s,
             deadline_s=self.deadline_s,
             last_start_s=self.last_start_s(now_s),
@@ -166,8 +195,16 @@
             gap_sensitive_tokens=self.expected_tokens if self.gap_sensitive else 0,
             excluded=frozenset(self.excluded) | unusable,
             regions=regions,
+            expected_tokens=self.expected_tokens,
         )
 
+    @property
+    def _next_event_due_s(self) -> float:
+        """Time by which the first event is due, or the next of a resumed stream."""
+        if self.interrupted_s is None:
+            return self.objective_s
+        return self.interrupted_s + self.route.max_event_gap_ms / 1000
+
     @property
     def gap_sensitive(self) -> bool:
         """Whether it is a stream that is not gap-tolerant.
--- a/src/shallotroad/policy/endpoint_load.py
+++ b/src/shallotroad/policy/endpoint_load.py
@@ -14,8 +14,10 @@
 The model has two measures of prefill work. The backlog is the expected time until the
 engine has prefilled the prompts sent to it; it ends when no request awaits its first
 event. The prefill debt is the prefill work sent to the engine beyond
-``PREFILL_SHARE`` of its time; first events do not clear it, and only the placement of
-gap-tolerant requests depends on it.
+its prefill share of its time; first events do not clear it, and only the placement of
+gap-tolerant requests depends on it. The prefill share follows the answers that the
+service's gap-tolerant requests expect: the longer they are for the time that their
+callers have, the more of an engine's time is left for decode.
 """
 
 from __future__ import annotations
@@ -46,9 +48,14 @@
 SLOWNESS_SAMPLE_WEIGHT = 0.15
 # Upper limit of a sample of the slowness; the lower one is 0.5.
 MAX_SLOWNESS = 10.0
-# Fraction of an engine's time that is planned for prefill; more would starve the
-# running streams.
-PREFILL_SHARE = 0.9
+# Largest and smallest fraction of an engine's time that is planned for prefill. The
+# rest decodes the running streams, whose answers must be whole in time.
+MAX_PREFILL_SHARE = 0.9
+MIN_PREFILL_SHARE = 0.4
+# Duration of a step of an engine with about 30 streams and no prefill.
+DECODE_STEP_MS = 10.0
+# Factor on the expected tokens of an answer, because many answers are longer.
+ANSWER_LENGTH_HEADROOM = 2.0
 # Fraction of an engine's KV cache that may hold prompt parts. At 1.0, nothing is set
 # aside for running requests.
 CACHE_SHARE = 1.0
@@ -60,6 +67,34 @@
 MAX_PARTS = 4096
 
 
+def decode_share(tokens: int, time_s: float) -> float:
+    """Return the share of an engine's time that answers need to become whole in time.
+
+    While an engine of nominal speed decodes for a share ``d`` of its time, each of its
+    streams gets ``d / DECODE_STEP_MS`` tokens in a millisecond. The result may exceed
+    1.
+
+    Parameters
+    ----------
+    tokens : int
+        Expected tokens of an answer.
+    time_s : float
+        Time from its first event until its caller's deadline.
+    """
+    decode_s = ANSWER_LENGTH_HEADROOM * tokens * DECODE_STEP_MS / 1000.0
+    return decode_s / max(0.001, time_s)
+
+
+def prefill_share(needed_decode_share: float) -> float:
+    """Return the share of an engine's time that is left for prefill."""
+    return min(MAX_PREFILL_SHARE, max(MIN_PREFILL_SHARE, 1.0 - needed_decode_share))
+
+
+def expected_answer_s(tokens: int, planned_prefill_share: float) -> float:
+    """Return how long an answer's decode takes at an engine's planned prefill share."""
+    return tokens * DECODE_STEP_MS / 1000.0 / (1.0 - planned_prefill_share)
+
+
 class EndpointLoad:
     """Running requests, prefill backlog, slowness, failures and cached parts.
 
@@ -85,6 +120,9 @@
     avoided_until_s : float
         Time until which the endpoint is used only if no other one is usable; 0 if it
         never was avoided. ``Forwarder`` sets it after a failed connection.
+    prefill_share : float
+        Fraction of the engine's time that is planned for prefill. ``Admission`` sets
+        it from the requests for the service.
     slowness : float
         Factor by which the endpoint is slower than the nominal prefill speed.
     kv_cache_tokens : int
@@ -99,6 +137,7 @@
         self.last_seen_s = now_s
         self.cold_until_s = 0.0
         self.slowness = 1.0
+        self.prefill_share = MAX_PREFILL_SHARE
         self._gap_sensitive_work_ms = 0.0
         self._other_work_ms = 0.0
         self._work_decayed_s = now_s
@@ -202,11 +241,11 @@
         """Return the prefill debt: prefill work placed ahead of the engine's share.
 
         The debt rises by the prefill time of each dispatched request and falls by
-        ``PREFILL_SHARE`` of the time that passes, not below 0; the rest of the engine's
+        ``prefill_share`` of the time that passes, not below 0; the rest of the engine's
         time is left for the decode of running streams. Unlike the backlog, it is not
         cleared by first events. Only the placement of gap-tolerant requests uses it.
         """
-        worked_off_ms = (now_s - self._debt_updated_s) * 1000.0 * PREFILL_SHARE
+        worked_off_ms = (now_s - self._debt_updated_s) * 1000.0 * self.prefill_share
         self._debt_ms = max(0.0, self._debt_ms - worked_off_ms)
         self._debt_updated_s = now_s
         return self._debt_ms
--- a/src/shallotroad/policy/placement.py
+++ b/src/shallotroad/policy/placement.py
@@ -4,7 +4,7 @@
 milliseconds: the prefill backlog, the prefill of the uncached part of the prompt,
 running requests, distance, recent failures and interference with other streams. For a
 gap-tolerant request, the time to work off the prefill debt (defined in
-``endpoint_load.py``), ``debt_ms / PREFILL_SHARE``, replaces the backlog where it is
+``endpoint_load.py``), ``debt_ms / prefill_share``, replaces the backlog where it is
 longer. Endpoints of services without engines are ranked in the same way.
 """
 
@@ -16,7 +16,7 @@
 from typing import NamedTuple
 
 from shallotroad.policy.endpoint_load import ATTENTION_PAIRS_PER_MS
-from shallotroad.policy.endpoint_load import PREFILL_SHARE
+from shallotroad.policy.endpoint_load import DECODE_STEP_MS
 from shallotroad.policy.endpoint_load import PREFILL_TOKENS_PER_MS
 
 
@@ -54,8 +54,6 @@
 LONG_PROMPT_ON_RESERVED_MS_PER_REQUEST = 60.0
 # Prompt tokens that engines prefill in one step.
 PREFILL_CHUNK_TOKENS = 2048
-# Duration of a step of an engine with about 30 streams and no prefill.
-DECODE_STEP_MS = 10.0
 # Penalty for any request that is not gap-tolerant, also without a stream, on a shared
 # engine if some candidate is reserved. Long prompts of other streams cause event gaps
 # on shared engines.
@@ -386,7 +384,7 @@
         prefill_ms = load.prefill_ms(uncached, total - uncached)
         wait_ms = view.backlog_ms
         if gap_tolerant:
-            wait_ms = max(wait_ms, view.debt_ms / PREFILL_SHARE)
+            wait_ms = max(wait_ms, view.debt_ms / view.load.prefill_share)
         cost_ms = wait_ms + prefill_ms + view.common_cost_ms
         if tokens < recently_used_tokens:
             cost_ms += REPEATED_PREFILL_MS_PER_TOKEN * (recently_used_tokens - tokens)
--- a/src/shallotroad/policy/placement_request.py
+++ b/src/shallotroad/policy/placement_request.py
@@ -50,6 +50,8 @@
     regions : frozenset of str
         Regions whose data centres may run it. Empty allows all, and a set of only the
         empty name allows none.
+    expected_tokens : int
+        Expected tokens of the answer; 1 if the caller states none.
     """
 
     service: str
@@ -65,6 +67,7 @@
     gap_sensitive_tokens: int
     excluded: frozenset[str]
     regions: frozenset[str]
+    expected_tokens: int = 1
 
     def priority(self, now_s: float) -> tuple[int, int, bool, float]:
         """Return the sort key among queued requests; the lowest is placed first.
--- /dev/null
+++ b/tests/engine_simulation.py
@@ -0,0 +1,143 @@
+"""Model of engines that interleave prefill and decode, in simulated time.
+
+Each step gives every running stream one token and prefills one chunk of the oldest
+waiting prompt, so prefill slows the streams that run beside it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+
+from shallotroad.gateway.exceptions import RefusedError
+from shallotroad.policy.endpoint_load import FIRST_EVENT_OVERHEAD_MS
+
+
+if TYPE_CHECKING:
+    from shallotroad.gateway.job import Job
+    from shallotroad.policy.placement import Placement
+    from tests.gateway_builders import AdmissionFixture
+
+STEP_S = 0.0026
+STEP_PER_STREAM_S = 0.0001
+CHUNK_TOKENS = 2048
+PREFILL_TOKENS_PER_S = 48_000
+
+
+class SimulatedRequest:
+    """A request at an engine: a prompt to prefill, then an answer to decode."""
+
+    def __init__(self, *, job: Job, placement: Placement, answer_tokens: int) -> None:
+        self.job = job
+        self.placement = placement
+        self.prompt_tokens = job.request.prompt_tokens - placement.cached_tokens
+        self.answer_tokens = answer_tokens
+        self.placed_s = asyncio.get_running_loop().time()
+        self.started = False
+        self.ended = asyncio.Event()
+
+
+class SimulatedEngine:
+    """One engine; ``speed`` divides the time of all its steps."""
+
+    def __init__(self, *, speed: float = 1.0) -> None:
+        self._speed = speed
+        self._prompts: deque[SimulatedRequest] = deque()
+        self._streams: list[SimulatedRequest] = []
+        self._work = asyncio.Event()
+
+    def add(self, request: SimulatedRequest) -> None:
+        self._prompts.append(request)
+        self._work.set()
+
+    def remove(self, request: SimulatedRequest) -> None:
+        if request in self._prompts:
+            self._prompts.remove(request)
+        if request in self._streams:
+            self._streams.remove(request)
+
+    async def run(self) -> None:
+        while True:
+            if not self._prompts and not self._streams:
+                self._work.clear()
+                await self._work.wait()
+            step_s = STEP_S + STEP_PER_STREAM_S * len(self._streams)
+            prompt = self._prompts[0] if self._prompts else None
+            if prompt is not None:
+                chunk = min(CHUNK_TOKENS, max(0, prompt.prompt_tokens))
+                prompt.prompt_tokens -= chunk
+                step_s += chunk / PREFILL_TOKENS_PER_S
+            await asyncio.sleep(step_s / self._speed)
+            if prompt is not None and prompt.prompt_tokens <= 0:
+                self._start_stream(prompt)
+            for stream in list(self._streams):
+                self._decode(stream)
+
+    def _start_stream(self, prompt: SimulatedRequest) -> None:
+        """Begin to decode a request, unless its caller has left meanwhile."""
+        if prompt in self._prompts:
+            self._prompts.remove(prompt)
+            self._streams.append(prompt)
+
+    def _decode(self, stream: SimulatedRequest) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if not stream.started:
+            stream.started = True
+            self._record_first_event(stream, now_s)
+        stream.answer_tokens -= 1
+        if stream.answer_tokens <= 0:
+            self._streams.remove(stream)
+            stream.ended.set()
+
+    def _record_first_event(self, stream: SimulatedRequest, now_s: float) -> None:
+        """Update the load as a gateway does at the first event of an attempt."""
+        placement = stream.placement
+        placement.load.record_first_event(placement.due_s, now_s)
+        observed_ms = (now_s - stream.placed_s) * 1000 - FIRST_EVENT_OVERHEAD_MS
+        expected_ms = placement.backlog_ms + placement.prefill_ms
+        placement.load.update_slowness(expected_ms, observed_ms)
+
+
+class Outcomes:
+    """How the requests of a simulation ended."""
+
+    def __init__(self) -> None:
+        self.whole = 0
+        self.cut = 0
+        self.refused = 0
+
+    @property
+    def cut_share(self) -> float:
+        """Share of the admitted requests whose callers left before the end."""
+        return self.cut / max(1, self.cut + self.whole)
+
+
+async def run_request(
+    fixture: AdmissionFixture,
+    engines: dict[str, SimulatedEngine],
+    job: Job,
+    answer_tokens: int,
+    outcomes: Outcomes,
+) -> None:
+    """Place a request, and let its engine serve it until its caller leaves."""
+    clock = fixture.clock
+    try:
+        placement = await fixture.admission.place(job.placement_request(clock()))
+    except RefusedError:
+        outcomes.refused += 1
+        return
+    engine = engines[placement.load.record.identifier]
+    request = SimulatedRequest(
+        job=job, placement=placement, answer_tokens=answer_tokens
+    )
+    engine.add(request)
+    try:
+        async with asyncio.timeout(job.end_s - clock()):
+            await request.ended.wait()
+        outcomes.whole += 1
+    except TimeoutError:
+        engine.remove(request)
+        outcomes.cut += 1
+    placement.load.record_end(placement.due_s, started=request.started, now_s=clock())
+    fixture.admission.schedule_dispatch()
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -146,13 +146,23 @@
     return Job(**{**values, **changes})
 
 
+def make_prompt_request(
+    shared_part: str, shared_tokens: int, own_part: str, own_tokens: int
+) -> CallerRequest:
+    return make_request(
+        request_id=own_part,
+        prompt_parts=(
+            PromptPart(shared_part, shared_tokens),
+            PromptPart(own_part, own_tokens),
+        ),
+        prompt_tokens=shared_tokens + own_tokens,
+    )
+
+
 def make_long_prompt_job(
     shared_part: str, own_part: str, now_s: float, **changes: Any
 ) -> Job:
-    parts = (PromptPart(shared_part, 13_000), PromptPart(own_part, 4_000))
-    request = make_request(
-        request_id=own_part, prompt_parts=parts, prompt_tokens=17_000
-    )
+    request = make_prompt_request(shared_part, 13_000, own_part, 4_000)
     return make_gateway_job(
         route=make_gap_tolerant_route(), now_s=now_s, request=request, **changes
     )
--- a/tests/unit/gateway/test_burst_of_long_prompts.py
+++ b/tests/unit/gateway/test_burst_of_long_prompts.py
@@ -11,6 +11,7 @@
 import asyncio
 import time
 from collections import Counter
+from typing import TYPE_CHECKING
 
 import pytest
 
@@ -20,6 +21,25 @@
 from tests.gateway_builders import make_long_prompt_job
 
 
+if TYPE_CHECKING:
+    from shallotroad.gateway.job import Job
+    from shallotroad.policy.placement import Placement
+    from tests.gateway_builders import AdmissionFixture
+
+
+async def place_while_time_passes(fixture: AdmissionFixture, job: Job) -> Placement:
+    """Place a job; the test's clock runs while it is queued."""
+    task = asyncio.create_task(
+        fixture.admission.place(job.placement_request(fixture.clock()))
+    )
+    await asyncio.sleep(0)
+    while not task.done():
+        fixture.clock.now_s += 0.01
+        fixture.admission.dispatch_queued()
+        await asyncio.sleep(0)
+    return await task
+
+
 async def test_gap_sensitive_requests_avoid_engines_that_prefill_long_prompts() -> None:
     fixture = make_admission_fixture()
     long_prompt_jobs = [
@@ -91,9 +111,7 @@
     for number in range(12):
         fixture.clock.now_s += 0.12
         job = make_long_prompt_job("hot", f"o{number}", fixture.clock())
-        placement = await fixture.admission.place(
-            job.placement_request(fixture.clock())
-        )
+        placement = await place_while_time_passes(fixture, job)
         placements_by_engine[placement.load.record.identifier] += 1
         placement.load.record_first_event(placement.due_s, fixture.clock())
     assert len(placements_by_engine) == 1
--- a/tests/unit/policy/test_endpoint_load.py
+++ b/tests/unit/policy/test_endpoint_load.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 from shallotroad.platform.headers import PromptPart
-from shallotroad.policy.endpoint_load import PREFILL_SHARE
+from shallotroad.policy.endpoint_load import MAX_PREFILL_SHARE
 from tests.gateway_builders import make_load
 from tests.gateway_builders import make_record
 
@@ -37,7 +37,7 @@
     load.record_dispatch(300.0, NOW_S)
     load.record_dispatch(400.0, NOW_S)
     assert load.debt_ms(NOW_S) == 700
-    assert load.debt_ms(NOW_S + 0.5) == 700 - 500 * PREFILL_SHARE
+    assert load.debt_ms(NOW_S + 0.5) == 700 - 500 * MAX_PREFILL_SHARE
 
 
 def test_a_restart_resets_cached_parts_and_failures() -> None:
