Plan decode time by the expected answer, not twice of it

Change: the expected tokens count once; only gap-tolerant streams are held to the start with which their answer can be whole, as the plan concerns the engines they use.

--- a/src/shallotroad/gateway/job.py
+++ b/src/shallotroad/gateway/job.py
@@ -132,13 +132,13 @@
         """Return the latest time at which it may start at an endpoint.
 
         For a stream it is also bounded by the caller's timeout for a silent
-        stream, which can end long before the deadline, and by the time that its answer
-        takes at an engine that is busy with prefill.
+        stream, which can end long before the deadline; for a gap-tolerant one also by
+        the time that its answer takes at an engine that is busy with prefill.
         """
         if not self.streams:
             return now_s + MAX_WAIT_SHARE * (self.end_s - now_s)
         latest_s = now_s + MAX_STREAM_WAIT_SHARE * (self.end_s - now_s)
-        if self.interrupted_s is None:
+        if self.gap_tolerant and self.interrupted_s is None:
             whole_answer_s = self._last_start_for_whole_answer_s()
             latest_s = min(latest_s, max(now_s + MIN_WAIT_S, whole_answer_s))
         caller_timeout_s = max(
--- a/src/shallotroad/policy/endpoint_load.py
+++ b/src/shallotroad/policy/endpoint_load.py
@@ -54,8 +54,6 @@
 MIN_PREFILL_SHARE = 0.4
 # Duration of a step of an engine with about 30 streams and no prefill.
 DECODE_STEP_MS = 10.0
-# Factor on the expected tokens of an answer, because many answers are longer.
-ANSWER_LENGTH_HEADROOM = 2.0
 # Fraction of an engine's KV cache that may hold prompt parts. At 1.0, nothing is set
 # aside for running requests.
 CACHE_SHARE = 1.0
@@ -81,7 +79,7 @@
     time_s : float
         Time from its first event until its caller's deadline.
     """
-    decode_s = ANSWER_LENGTH_HEADROOM * tokens * DECODE_STEP_MS / 1000.0
+    decode_s = tokens * DECODE_STEP_MS / 1000.0
     return decode_s / max(0.001, time_s)
 
 
