Learn an engine's decode step and slowness from its streams

Cause: two figures that describe an engine were wrong for it. The time of a decode step was nominal, so an engine of half speed planned as much prefill as one of full speed. And the slowness was compared with an expectation that already contained it: an engine that is five times slower than nominal settled at the square root of five.

Ruled out: the share of an engine that each begins anew and the share times the slowness (docs/design/admission.md, both tried before); admission by fixed shares, fitted to one customer.

Change: streams measure the lower quartile of the intervals between their events, reports carry it to the coordinators, and each engine's step is a line over its running streams (policy/decode_step.py). A slowness sample is multiplied by the slowness that its expectation contained, which grants carry. Gateways of the version before understand both messages.

--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -26,8 +26,6 @@
 
 from shallotroad.gateway.exceptions import RefusedError
 from shallotroad.observability.event_log import log_event
-from shallotroad.policy.endpoint_load import decode_share
-from shallotroad.policy.endpoint_load import prefill_share
 from shallotroad.policy.placement import EngineView
 from shallotroad.policy.placement import Placement
 from shallotroad.policy.placement import rank_engines
@@ -81,8 +79,9 @@
 # placed; the rest of the queue comes later in its order and is not tried.
 MAX_UNPLACED_PER_ROUND = 32
 MAX_QUEUED = 2_000
-# Weight of a new request in the moving average of a service's decode share.
-DECODE_SHARE_SAMPLE_WEIGHT = 0.1
+# Weight of a new request in the moving average of the decode speed that the answers of
+# a service need.
+NEEDED_SPEED_SAMPLE_WEIGHT = 0.1
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 3.0
 # Retry-After as a share of the time left to the deadline; callers wait for at most a
@@ -192,7 +191,7 @@
         self._gateways_for_cold_start = gateways_for_cold_start
         self._clock = clock
         self._recent_parts = RecentParts()
-        self._decode_shares: dict[str, float] = {}
+        self._needed_tokens_per_ms: dict[str, float] = {}
         self._queue: list[QueuedPlacement] = []
         self._dispatch_timer: asyncio.TimerHandle | None = None
         endpoint_registry.on_changed = self.schedule_dispatch
@@ -242,16 +241,16 @@
     def _update_prefill_shares(self, request: PlacementRequest) -> None:
         """Let a gap-tolerant request count in the prefill shares of its engines.
 
-        The time that answers need is averaged over the service's requests.
+        The speed that answers need to be whole in time is averaged over the service's
+        requests; each engine's share depends on its own decode speed as well.
         """
-        sample = decode_share(
-            request.expected_tokens, request.end_s - request.objective_s
-        )
-        average = self._decode_shares.get(request.service, sample)
-        average += DECODE_SHARE_SAMPLE_WEIGHT * (sample - average)
-        self._decode_shares[request.service] = average
+        decode_ms = max(1.0, (request.end_s - request.objective_s) * 1000.0)
+        sample = request.expected_tokens / decode_ms
+        average = self._needed_tokens_per_ms.get(request.service, sample)
+        average += NEEDED_SPEED_SAMPLE_WEIGHT * (sample - average)
+        self._needed_tokens_per_ms[request.service] = average
         for load in self._endpoint_registry.active_loads(request.service):
-            load.prefill_share = prefill_share(average)
+            load.plan_prefill_share(average)
 
     def record_surveyed_parts(self, parts: Sequence[PromptPart]) -> None:
         """Count parts that a cache survey found in some engine as used now.
--- a/src/shallotroad/gateway/coordination/coordinator.py
+++ b/src/shallotroad/gateway/coordination/coordinator.py
@@ -199,6 +199,7 @@
             round(placement.prefill_ms, 1),
             placement.cached_tokens,
             placement.reserved,
+            round(placement.slowness, 2),
         )
         expected_ms = placement.backlog_ms + placement.prefill_ms
         gateway.in_flight[number] = RemoteRequest(
@@ -218,7 +219,9 @@
         request.load.record_first_event(request.due_s, self._clock())
         if request.grant is not None:
             observed_ms = message.first_event_ms - FIRST_EVENT_OVERHEAD_MS
-            request.load.update_slowness(request.expected_ms, observed_ms)
+            request.load.update_slowness(
+                request.expected_ms, observed_ms, request.grant.slowness
+            )
         gateway.in_flight[message.number] = request._replace(started=True)
         self._admission.schedule_dispatch()
 
@@ -260,7 +263,10 @@
         self._admission.schedule_dispatch()
 
     def _record_in_flight(self, gateway: GatewayWork, request: InFlightRequest) -> None:
-        """Count a reported request if it is unknown, and its first event if missed."""
+        """Update the load by a reported request.
+
+        The request is counted if it is unknown, and its first event if it was missed.
+        """
         now_s = self._clock()
         current = gateway.in_flight.get(request.number)
         if current is None:
@@ -278,6 +284,8 @@
         if request.started and not current.started:
             current.load.record_first_event(current.due_s, now_s)
             current = current._replace(started=True)
+        if request.decode_step_ms:
+            current.load.record_decode_step(request.decode_step_ms, now_s)
         gateway.in_flight[request.number] = current
 
     def _remove_request(self, gateway: GatewayWork, number: int) -> None:
--- a/src/shallotroad/gateway/coordination/messages.py
+++ b/src/shallotroad/gateway/coordination/messages.py
@@ -48,7 +48,11 @@
 
 
 class Grant(NamedTuple):
-    """The coordinator's choice of an endpoint, with the figures behind the choice."""
+    """The coordinator's choice of an endpoint, with the figures behind the choice.
+
+    ``backlog_ms`` and ``prefill_ms`` contain ``slowness``, the endpoint's factor over
+    the nominal prefill time.
+    """
 
     number: int
     endpoint: str
@@ -57,6 +61,7 @@
     prefill_ms: float
     cached_tokens: int
     reserved: bool
+    slowness: float = 1.0
 
 
 class Queued(NamedTuple):
@@ -106,7 +111,9 @@
     """A request that a gateway has in flight at an engine.
 
     ``gap_sensitive_tokens`` is the expected length of a gap-sensitive response, 0 for
-    any other. ``started`` is set once the first event has arrived.
+    any other. ``started`` is set once the first event has arrived. ``decode_step_ms``
+    is the time of a decode step of the engine that the stream's events since the last
+    report show, 0 if they show none.
     """
 
     number: int
@@ -114,6 +121,7 @@
     prefill_ms: float
     gap_sensitive_tokens: int
     started: bool
+    decode_step_ms: float = 0.0
 
 
 class Report(NamedTuple):
@@ -224,20 +232,25 @@
 
 
 def _decode_in_flight(fields: list[Any]) -> InFlightRequest:
-    number, endpoint, prefill_ms, gap_sensitive_tokens, started = fields
+    number, endpoint, prefill_ms, gap_sensitive_tokens, started = fields[:5]
+    # Gateways of earlier versions do not send the decode step.
+    decode_step_ms = fields[5] if len(fields) > 5 else 0.0
     return InFlightRequest(
         int(number),
         str(endpoint),
         _finite(prefill_ms),
         int(gap_sensitive_tokens),
         bool(started),
+        max(0.0, _finite(decode_step_ms)),
     )
 
 
 def _decode_reply(kind: str, fields: list[Any]) -> Grant | Queued | Decline | None:
     """Return the message of a coordinator, or None if it is of another kind."""
     if kind == "grant":
-        number, endpoint, cost_ms, backlog_ms, prefill_ms, cached, reserved = fields
+        number, endpoint, cost_ms, backlog_ms, prefill_ms, cached, reserved = fields[:7]
+        # Coordinators of earlier versions do not send the slowness.
+        slowness = fields[7] if len(fields) > 7 else 1.0
         return Grant(
             int(number),
             str(endpoint),
@@ -246,6 +259,7 @@
             _finite(prefill_ms),
             int(cached),
             bool(reserved),
+            _finite(slowness),
         )
     if kind == "hold":
         (number,) = fields
--- a/src/shallotroad/gateway/coordination/placement_client.py
+++ b/src/shallotroad/gateway/coordination/placement_client.py
@@ -24,6 +24,7 @@
 from shallotroad.gateway.coordination.messages import Submit
 from shallotroad.gateway.exceptions import RefusedError
 from shallotroad.observability.event_log import log_event
+from shallotroad.policy.decode_step import EventIntervals
 from shallotroad.policy.placement import Placement
 
 
@@ -36,6 +37,7 @@
     from shallotroad.gateway.endpoint_registry import EndpointRegistry
     from shallotroad.gateway.job import Job
     from shallotroad.gateway.membership import Membership
+    from shallotroad.policy.endpoint_load import EndpointLoad
     from shallotroad.policy.placement_request import PlacementRequest
 
     Send = Callable[[str, Message], None]
@@ -79,11 +81,16 @@
     """A request in flight to an engine, and the name of its service.
 
     ``coordinator`` granted the endpoint; it is empty if this gateway chose it.
+    ``intervals`` are those between the events of its stream, each of which holds
+    ``tokens_per_event`` tokens.
     """
 
     request: InFlightRequest
     coordinator: str
     service: str
+    load: EndpointLoad
+    intervals: EventIntervals
+    tokens_per_event: int
 
 
 class PlacementClient:
@@ -237,7 +244,15 @@
             job.expected_tokens if job.gap_sensitive else 0,
             started=False,
         )
-        self._in_flight[number] = PlacedRequest(request, coordinator, job.service.name)
+        engine = job.service.engine
+        self._in_flight[number] = PlacedRequest(
+            request=request,
+            coordinator=coordinator,
+            service=job.service.name,
+            load=placement.load,
+            intervals=EventIntervals(),
+            tokens_per_event=engine.tokens_per_event if engine is not None else 0,
+        )
         return placement._replace(number=number)
 
     async def _submit_to(self, coordinator: str, job: Job) -> Placement:
@@ -307,6 +322,7 @@
             backlog_ms=grant.backlog_ms,
             cached_tokens=grant.cached_tokens,
             reserved=grant.reserved,
+            slowness=grant.slowness,
             due_s=due_s,
         )
         return self._track(job, placement, grant.number, coordinator)
@@ -420,6 +436,12 @@
             message = Started(self._sender, placement.number, first_event_ms)
             self._send(placed.coordinator, message)
 
+    def record_events(self, placement: Placement, count: int) -> None:
+        """Record events of a stream that have arrived together now."""
+        placed = self._in_flight.get(placement.number)
+        if placed is not None:
+            placed.intervals.record_events(count, self._clock())
+
     def record_end(
         self, placement: Placement, *, success: bool, failure_weight: float = 0.0
     ) -> None:
@@ -448,6 +470,7 @@
         These are the first ``REPORTED_COORDINATORS`` of each service with requests in
         flight, those with pending requests, and those of the previous report.
         """
+        self._sample_decode_steps()
         services = {placed.service for placed in self._in_flight.values()}
         targets = {pending.coordinator for pending in self._pending.values()}
         for service in services:
@@ -457,6 +480,19 @@
             self._send_report(name)
         self._reported_to = targets
 
+    def _sample_decode_steps(self) -> None:
+        """Put the decode steps that streams have shown into the reported requests.
+
+        Those of the requests that were placed here count in this gateway's loads.
+        """
+        now_s = self._clock()
+        for number, placed in self._in_flight.items():
+            step_ms = placed.intervals.take_step_ms(placed.tokens_per_event) or 0.0
+            request = placed.request._replace(decode_step_ms=round(step_ms, 2))
+            self._in_flight[number] = placed._replace(request=request)
+            if step_ms and not placed.coordinator:
+                placed.load.record_decode_step(step_ms, now_s)
+
     def _send_report(self, name: str) -> None:
         in_flight = tuple(placed.request for placed in self._in_flight.values())
         self._send(name, Report(self._sender, in_flight, tuple(self._pending)))
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -15,6 +15,7 @@
 from typing import Protocol
 
 from shallotroad.catalog.configuration import RouteKind
+from shallotroad.gateway.event_stream import EVENT_SEPARATOR
 from shallotroad.gateway.exceptions import BrokenStreamError
 from shallotroad.gateway.exceptions import OutcomeUnknownError
 from shallotroad.gateway.exceptions import RefusedError
@@ -573,6 +574,7 @@
             events = splitter.feed(chunk)
             if not events:
                 continue
+            progress.record_events(events)
             if not progress.started_s:
                 progress.record_first_event()
                 remaining_s = job.end_s + RESPONSE_GRACE_S - self._clock()
@@ -646,6 +648,12 @@
                 self._placement, self._first_event_ms
             )
 
+    def record_events(self, events: bytes) -> None:
+        """Record complete events that have arrived together."""
+        self._placement_client.record_events(
+            self._placement, events.count(EVENT_SEPARATOR)
+        )
+
     def record_end(self, *, update_slowness: bool) -> None:
         """Record the outcome and the end of the attempt.
 
@@ -662,7 +670,9 @@
         if self.started_s and update_slowness:
             expected_ms = placement.backlog_ms + placement.prefill_ms
             load.update_slowness(
-                expected_ms, self._first_event_ms - FIRST_EVENT_OVERHEAD_MS
+                expected_ms,
+                self._first_event_ms - FIRST_EVENT_OVERHEAD_MS,
+                placement.slowness,
             )
         load.record_end(placement.due_s, started=bool(self.started_s), now_s=now_s)
         self._placement_client.record_end(
--- a/src/shallotroad/policy/endpoint_load.py
+++ b/src/shallotroad/policy/endpoint_load.py
@@ -26,6 +26,8 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
+from shallotroad.policy.decode_step import DecodeStepModel
+
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -46,13 +48,14 @@
 ATTENTION_PAIRS_PER_MS = 2_000_000.0
 # Weight of a new sample in the moving average of the slowness.
 SLOWNESS_SAMPLE_WEIGHT = 0.15
-# Upper limit of a sample of the slowness; the lower one is 0.5.
+# Limits of a sample of the slowness.
+MIN_SLOWNESS = 0.5
 MAX_SLOWNESS = 10.0
 # Largest and smallest fraction of an engine's time that is planned for prefill. The
 # rest decodes the running streams, whose answers must be whole in time.
 MAX_PREFILL_SHARE = 0.9
 MIN_PREFILL_SHARE = 0.4
-# Duration of a step of an engine with about 30 streams and no prefill.
+# Nominal duration of a step of an engine with about 30 streams and no prefill.
 DECODE_STEP_MS = 10.0
 # Fraction of an engine's KV cache that may hold prompt parts. At 1.0, nothing is set
 # aside for running requests.
@@ -144,6 +147,7 @@
         self._debt_ms = 0.0
         self._debt_updated_s = now_s
         self._part_tokens = 0
+        self._decode_step = DecodeStepModel()
         self._failure_weight = 0.0
         self._success_weight = 0.0
         self._outcomes_decayed_s = now_s
@@ -281,26 +285,61 @@
         nominal_ms = tokens / PREFILL_TOKENS_PER_MS + pairs / ATTENTION_PAIRS_PER_MS
         return nominal_ms * self.slowness
 
-    def update_slowness(self, expected_ms: float, observed_ms: float) -> None:
+    def update_slowness(
+        self, expected_ms: float, observed_ms: float, assumed_slowness: float
+    ) -> None:
         """Adjust the slowness to an observed prefill.
 
-        The sample is ``(observed_ms + o) / (expected_ms + 2 * o)``, where ``o`` is
-        ``FIRST_EVENT_OVERHEAD_MS``, limited to between 0.5 and ``MAX_SLOWNESS``.
+        The sample is ``assumed_slowness`` times the observed by the expected time, both
+        with ``FIRST_EVENT_OVERHEAD_MS`` added, limited to between 0.5 and
+        ``MAX_SLOWNESS``.
 
         Parameters
         ----------
         expected_ms : float
-            Expected backlog and prefill time at dispatch. It already contains the
-            slowness of that time, and the sample is not multiplied by it again.
+            Expected backlog and prefill time at dispatch.
         observed_ms : float
             Time to the first event less ``FIRST_EVENT_OVERHEAD_MS``.
+        assumed_slowness : float
+            Slowness at dispatch, which ``expected_ms`` contains.
         """
         ratio = (observed_ms + FIRST_EVENT_OVERHEAD_MS) / (
-            expected_ms + 2 * FIRST_EVENT_OVERHEAD_MS
+            expected_ms + FIRST_EVENT_OVERHEAD_MS
         )
-        sample = min(MAX_SLOWNESS, max(0.5, ratio))
+        sample = min(MAX_SLOWNESS, max(MIN_SLOWNESS, assumed_slowness * ratio))
         self.slowness += SLOWNESS_SAMPLE_WEIGHT * (sample - self.slowness)
 
+    # Decode speed
+
+    @property
+    def running_streams(self) -> int:
+        """Requests in flight that have had their first event."""
+        return self.running - self.awaiting_first_event
+
+    def record_decode_step(self, step_ms: float, now_s: float) -> None:
+        """Record the time of a decode step that a stream's events showed."""
+        self._decode_step.record(
+            streams=self.running_streams, step_ms=step_ms, now_s=now_s
+        )
+
+    @property
+    def decode_step_ms(self) -> float:
+        """Expected time of a decode step without prefill, with all requests in flight.
+
+        Those that await their first event count too: they will run beside the others.
+        """
+        return self._decode_step.predict_ms(self.running)
+
+    def plan_prefill_share(self, needed_tokens_per_ms: float) -> None:
+        """Set ``prefill_share`` to what the decode of running streams leaves.
+
+        Parameters
+        ----------
+        needed_tokens_per_ms : float
+            Tokens that each stream needs in a millisecond to be whole in time.
+        """
+        self.prefill_share = prefill_share(needed_tokens_per_ms * self.decode_step_ms)
+
     # Failures
 
     def _decay_outcomes(self, now_s: float) -> None:
@@ -368,7 +407,7 @@
         self.record_parts(parts)
 
     def restart(self, record: EndpointRecord, now_s: float) -> None:
-        """Reset slowness, cached parts and failures for a new incarnation.
+        """Reset speeds, cached parts and failures for a new incarnation.
 
         Running requests, backlog, prefill debt, recent work and the weight of successes
         are kept, and so are ``cold_until_s`` and ``avoided_until_s``. The callers still
@@ -377,6 +416,7 @@
         self.record = record
         self.last_seen_s = now_s
         self.slowness = 1.0
+        self._decode_step = DecodeStepModel()
         self._parts.clear()
         self._part_tokens = 0
         self._failure_weight = 0.0
--- a/src/shallotroad/policy/placement.py
+++ b/src/shallotroad/policy/placement.py
@@ -113,6 +113,8 @@
         Leading tokens of the prompt that the engine has cached.
     reserved : bool
         Whether the engine is reserved for gap-sensitive streams.
+    slowness : float
+        Slowness of the endpoint that the expected times contain.
     due_s : float
         Monotonic time at which the first event is expected; 0 before dispatch.
     number : int
@@ -126,6 +128,7 @@
     backlog_ms: float
     cached_tokens: int = 0
     reserved: bool = False
+    slowness: float = 1.0
     due_s: float = 0.0
     number: int = 0
 
@@ -133,8 +136,8 @@
         """Return the inputs of the placement decision as log fields.
 
         These are ``endpoint``, ``cost_ms``, ``backlog_ms``, ``prefill_ms``, ``cached``
-        (``cached_tokens``), ``express`` (``reserved``), and the ``running`` requests
-        and ``slowness`` of the endpoint at the time of the call.
+        (``cached_tokens``), ``express`` (``reserved``), ``slowness``, and the
+        ``running`` requests of the endpoint at the time of the call.
         """
         return {
             "endpoint": self.load.record.identifier,
@@ -144,7 +147,7 @@
             "cached": self.cached_tokens,
             "express": self.reserved,
             "running": self.load.running,
-            "slowness": round(self.load.slowness, 2),
+            "slowness": round(self.slowness, 2),
         }
 
 
@@ -192,6 +195,7 @@
             backlog_ms=view.backlog_ms,
             cached_tokens=self.cached_tokens,
             reserved=view.reserved,
+            slowness=view.load.slowness,
         )
 
 
--- a/tests/engine_simulation.py
+++ b/tests/engine_simulation.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from shallotroad.gateway.exceptions import RefusedError
+from shallotroad.policy.decode_step import EventIntervals
 from shallotroad.policy.endpoint_load import FIRST_EVENT_OVERHEAD_MS
 
 
@@ -34,6 +35,8 @@
         self.prompt_tokens = job.request.prompt_tokens - placement.cached_tokens
         self.answer_tokens = answer_tokens
         self.placed_s = asyncio.get_running_loop().time()
+        self.slowness = placement.load.slowness
+        self.intervals = EventIntervals()
         self.started = False
         self.ended = asyncio.Event()
 
@@ -85,6 +88,10 @@
         if not stream.started:
             stream.started = True
             self._record_first_event(stream, now_s)
+        stream.intervals.record_events(1, now_s)
+        step_ms = stream.intervals.take_step_ms(tokens_per_event=1)
+        if step_ms is not None:
+            stream.placement.load.record_decode_step(step_ms, now_s)
         stream.answer_tokens -= 1
         if stream.answer_tokens <= 0:
             self._streams.remove(stream)
@@ -96,7 +103,7 @@
         placement.load.record_first_event(placement.due_s, now_s)
         observed_ms = (now_s - stream.placed_s) * 1000 - FIRST_EVENT_OVERHEAD_MS
         expected_ms = placement.backlog_ms + placement.prefill_ms
-        placement.load.update_slowness(expected_ms, observed_ms)
+        placement.load.update_slowness(expected_ms, observed_ms, stream.slowness)
 
 
 class Outcomes:
@@ -112,6 +119,11 @@
         """Share of the admitted requests whose callers left before the end."""
         return self.cut / max(1, self.cut + self.whole)
 
+    @property
+    def refused_share(self) -> float:
+        """Share of all requests that were refused before they ran."""
+        return self.refused / max(1, self.refused + self.cut + self.whole)
+
 
 async def run_request(
     fixture: AdmissionFixture,
--- a/tests/unit/policy/test_endpoint_load.py
+++ b/tests/unit/policy/test_endpoint_load.py
@@ -47,3 +47,20 @@
     load.restart(make_record(started_at_ms=2), NOW_S)
     assert load.cached_tokens([PromptPart("a", 10)]) == 0
     assert load.failure_share(NOW_S) == 0.0
+
+
+def test_the_slowness_reaches_that_of_the_engine() -> None:
+    load = make_load()
+    for _ in range(60):
+        expected_ms = load.prefill_ms(10_000)
+        observed_ms = 4 * load.prefill_ms(10_000) / load.slowness
+        load.update_slowness(expected_ms, observed_ms, load.slowness)
+    assert 3.0 < load.slowness < 5.0
+
+
+def test_requests_sent_before_the_slowness_was_known_do_not_raise_it_twice() -> None:
+    load = make_load()
+    expected_ms = load.prefill_ms(10_000)
+    for _ in range(60):
+        load.update_slowness(expected_ms, 4 * expected_ms, assumed_slowness=1.0)
+    assert load.slowness < 5.0
