Refuse at once what can't be served in time

Ruled out: a shorter latest start (it refuses what a short queue would have served); counting the prefill debt as waiting work (the model of engines served a fifth less than it could).

Change: the queue estimates when its engines have prefilled what waits before a request (QueueEstimate: their backlogs and the prompts ahead by the sum of their prefill shares). A request whose first event would be late is refused within 50 ms; Retry-After is the time that the queue needs, at most a third of the caller's time. Requests that may have run, and streams to resume, are not refused so. A coordinator says so with a message of its own (Refuse), after which the gateway does not place the request itself.

test_a_late_long_prompt_avoids_a_reserved_engine_with_many_streams waited with 9 s of backlog and half a second left, which is now refused; it plays a retry, which still waits, with the same checks.

--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -26,6 +26,8 @@
 
 from shallotroad.gateway.exceptions import RefusedError
 from shallotroad.observability.event_log import log_event
+from shallotroad.policy.endpoint_load import FIRST_EVENT_OVERHEAD_MS
+from shallotroad.policy.endpoint_load import nominal_prefill_ms
 from shallotroad.policy.placement import EngineView
 from shallotroad.policy.placement import Placement
 from shallotroad.policy.placement import rank_engines
@@ -82,6 +84,9 @@
 # Weight of a new request in the moving average of the decode speed that the answers of
 # a service need.
 NEEDED_SPEED_SAMPLE_WEIGHT = 0.1
+# A request may wait for this share of its objective even if its prefill takes the rest,
+# so that long prompts are not refused more often than short ones.
+MIN_WAIT_OBJECTIVE_SHARE = 0.8
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 3.0
 # Retry-After as a share of the time left to the deadline; callers wait for at most a
@@ -90,9 +95,10 @@
 
 
 class QueuedPlacement:
-    """A queued request and the callback that receives its placement.
+    """A queued request and the callbacks that receive its placement or refusal.
 
-    ``queued_at_s`` is the monotonic time at which it joined the queue.
+    ``queued_at_s`` is the monotonic time at which it joined the queue, ``prefill_ms``
+    the expected prefill time of its prompt at an engine of nominal speed.
     """
 
     def __init__(
@@ -100,11 +106,15 @@
         *,
         request: PlacementRequest,
         on_placed: Callable[[Placement], None],
+        on_refused: Callable[[RefusedError], None],
         queued_at_s: float,
+        prefill_ms: float,
     ) -> None:
         self.request = request
         self.on_placed = on_placed
+        self.on_refused = on_refused
         self.queued_at_s = queued_at_s
+        self.prefill_ms = prefill_ms
 
 
 class PlacementRound:
@@ -158,6 +168,40 @@
         ]
 
 
+class QueueEstimate:
+    """Expected wait in the queue for the engines of a service.
+
+    Parameters
+    ----------
+    loads : sequence of EndpointLoad
+        The engines that serve the queue.
+    """
+
+    def __init__(self, *, loads: Sequence[EndpointLoad], now_s: float) -> None:
+        self._share_sum = sum(load.prefill_share for load in loads)
+        self._slowness = sum(load.slowness for load in loads) / max(1, len(loads))
+        self._share = self._share_sum / max(1, len(loads))
+        self._work_ms = sum(load.backlog_ms(now_s) for load in loads)
+
+    def add(self, prefill_ms: float) -> None:
+        """Add a queued prompt, whose prefill takes this long at nominal speed."""
+        self._work_ms += prefill_ms * self._slowness
+
+    @property
+    def wait_s(self) -> float:
+        """Time until the engines have prefilled what waits for them so far."""
+        if not self._share_sum:
+            return 0.0
+        return self._work_ms / self._share_sum / 1000.0
+
+    def prefill_s(self, prefill_ms: float) -> float:
+        """Return the time from the start of a prompt to its first event."""
+        if not self._share:
+            return 0.0
+        engine_ms = prefill_ms * self._slowness / self._share
+        return (engine_ms + FIRST_EVENT_OVERHEAD_MS) / 1000.0
+
+
 class Admission:
     """Places requests on endpoints, and queues them while none has room.
 
@@ -202,14 +246,18 @@
         return len(self._queue)
 
     def submit(
-        self, request: PlacementRequest, on_placed: Callable[[Placement], None]
+        self,
+        request: PlacementRequest,
+        on_placed: Callable[[Placement], None],
+        on_refused: Callable[[RefusedError], None],
     ) -> QueuedPlacement | None:
         """Place a request now, or queue it.
 
         Returns the queued request, or None when it was placed at once.
         ``on_placed`` is called with the placement in both cases; the load of
         its endpoint already counts the request. ``last_start_s`` is not checked: a
-        request stays queued until it is placed or its submitter withdraws it.
+        request stays queued until it is placed, its submitter withdraws it, or
+        ``on_refused`` is called because its first event can't be in time.
 
         Raises
         ------
@@ -233,11 +281,23 @@
         if len(self._queue) >= MAX_QUEUED:
             raise RefusedError("queue full", retry_after_s=self.retry_after_s(request))
         queued = QueuedPlacement(
-            request=request, on_placed=on_placed, queued_at_s=now_s
+            request=request,
+            on_placed=on_placed,
+            on_refused=on_refused,
+            queued_at_s=now_s,
+            prefill_ms=self._nominal_prefill_ms(request, now_s),
         )
         self._queue.append(queued)
         return queued
 
+    def _nominal_prefill_ms(self, request: PlacementRequest, now_s: float) -> float:
+        """Return the prefill time of a prompt where its shared parts are cached."""
+        cached = self._recent_parts.recently_used_tokens(
+            request.profile.parts[:-1], now_s - self._prefix_reuse_s
+        )
+        tokens = max(0, request.profile.prompt_tokens - cached)
+        return nominal_prefill_ms(tokens, request.profile.prompt_tokens - tokens)
+
     def _update_prefill_shares(self, request: PlacementRequest) -> None:
         """Let a gap-tolerant request count in the prefill shares of its engines.
 
@@ -277,6 +337,7 @@
         queued = self.submit(
             request,
             lambda placement: _deliver_or_release(future, placement, self._clock),
+            lambda error: _reject(future, error),
         )
         if queued is None:
             return future.result()
@@ -345,6 +406,56 @@
                 remaining += by_priority[position + 1 :]
                 break
         self._queue = remaining
+        self._refuse_late_starts(now_s)
+
+    def _refuse_late_starts(self, now_s: float) -> None:
+        """Refuse queued requests whose first event can't be in time.
+
+        Only ``PlacementRequest.refusable`` ones are refused. The queue is in the order
+        of their priority, so each waits for the prompts before it.
+        """
+        if not any(queued.request.refusable for queued in self._queue):
+            return
+        queues = {
+            service: QueueEstimate(loads=self._shared_loads(service), now_s=now_s)
+            for service in {queued.request.service for queued in self._queue}
+        }
+        kept: list[QueuedPlacement] = []
+        refused: list[tuple[QueuedPlacement, float]] = []
+        for queued in self._queue:
+            request, queue = queued.request, queues[queued.request.service]
+            wait_s = queue.wait_s
+            # A prompt whose own prefill takes longer than the objective may still be
+            # served late, but it does not wait for others as well.
+            latest_start_s = max(
+                request.objective_s - queue.prefill_s(queued.prefill_ms),
+                request.arrival_s
+                + MIN_WAIT_OBJECTIVE_SHARE * request.objective_ms / 1000,
+            )
+            if request.refusable and now_s + wait_s > latest_start_s:
+                refused.append((queued, wait_s))
+                continue
+            kept.append(queued)
+            if request.profile.gap_tolerant:
+                queue.add(queued.prefill_ms)
+        self._queue = kept
+        for queued, wait_s in refused:
+            retry_after_s = min(wait_s, self.retry_after_s(queued.request))
+            queued.on_refused(
+                RefusedError(
+                    "no room in time",
+                    retry_after_s=max(MIN_RETRY_AFTER_S, retry_after_s),
+                )
+            )
+
+    def _shared_loads(self, service: str) -> list[EndpointLoad]:
+        """Return the loads of the engines that gap-tolerant requests use first."""
+        reserved = self._endpoint_registry.reserved_endpoints(service)
+        return [
+            load
+            for load in self._endpoint_registry.open_loads(service)
+            if load.record.identifier not in reserved
+        ]
 
     async def dispatch_periodically(self) -> None:
         """Dispatch the queue and log its state until cancelled.
@@ -488,6 +599,12 @@
     return view.backlog_ms <= limit_ms
 
 
+def _reject(future: asyncio.Future[Placement], error: RefusedError) -> None:
+    """Fail a pending ``place`` call, unless it has ended."""
+    if not future.done():
+        future.set_exception(error)
+
+
 def _deliver_or_release(
     future: asyncio.Future[Placement],
     placement: Placement,
--- a/src/shallotroad/gateway/coordination/coordinator.py
+++ b/src/shallotroad/gateway/coordination/coordinator.py
@@ -17,6 +17,7 @@
 from shallotroad.gateway.coordination.messages import Decline
 from shallotroad.gateway.coordination.messages import Grant
 from shallotroad.gateway.coordination.messages import Queued
+from shallotroad.gateway.coordination.messages import Refuse
 from shallotroad.gateway.exceptions import RefusedError
 from shallotroad.observability.event_log import log_event
 from shallotroad.policy.endpoint_load import FIRST_EVENT_OVERHEAD_MS
@@ -177,7 +178,9 @@
         number = message.number
         try:
             queued = self._admission.submit(
-                message.request, partial(self._grant, gateway, number, reply)
+                message.request,
+                partial(self._grant, gateway, number, reply),
+                partial(self._refuse, gateway, number, reply),
             )
         except RefusedError as error:
             reply(Decline(number, error.reason, draining=False))
@@ -207,6 +210,13 @@
         )
         reply(grant)
 
+    def _refuse(
+        self, gateway: GatewayWork, number: int, reply: SendReply, error: RefusedError
+    ) -> None:
+        """Reply that a queued request can't be placed in time."""
+        gateway.queued.pop(number, None)
+        reply(Refuse(number, error.reason, round(error.retry_after_s, 2)))
+
     def record_first_event(self, message: Started) -> None:
         """Record the first event of a request; unknown and repeated ones are ignored.
 
--- a/src/shallotroad/gateway/coordination/messages.py
+++ b/src/shallotroad/gateway/coordination/messages.py
@@ -86,6 +86,17 @@
     draining: bool
 
 
+class Refuse(NamedTuple):
+    """The coordinator expects no endpoint to have room in time.
+
+    Unlike after a ``Decline``, the gateway does not place the request itself.
+    """
+
+    number: int
+    reason: str
+    retry_after_s: float
+
+
 class Started(NamedTuple):
     """The first event of a granted request, and the time from its sending to then."""
 
@@ -136,7 +147,9 @@
     pending: tuple[int, ...]
 
 
-Message = Submit | Grant | Queued | Decline | Started | Ended | Report
+Message = Submit | Grant | Queued | Decline | Refuse | Started | Ended | Report
+
+REPLY_KINDS = {Grant: "grant", Queued: "hold", Decline: "decline", Refuse: "refuse"}
 
 
 def _encode_request(request: PlacementRequest, now_s: float) -> list[Any]:
@@ -164,6 +177,7 @@
         sorted(request.excluded),
         sorted(request.regions),
         request.expected_tokens,
+        request.refusable,
     ]
 
 
@@ -182,6 +196,7 @@
     offsets_ms, streams, gap_sensitive_tokens, excluded, regions = fields[9:14]
     # Gateways of earlier versions do not send the expected tokens.
     expected_tokens = fields[14] if len(fields) > 14 else 1
+    refusable = fields[15] if len(fields) > 15 else False
     times = [now_s + _finite(offset_ms) / MS_PER_S for offset_ms in offsets_ms]
     arrival_s, objective_s, end_s, deadline_s, last_start_s = times
     prompt_parts = tuple(
@@ -209,6 +224,7 @@
         excluded=frozenset(map(str, excluded)),
         regions=frozenset(map(str, regions)),
         expected_tokens=int(expected_tokens),
+        refusable=bool(refusable),
     )
 
 
@@ -245,7 +261,9 @@
     )
 
 
-def _decode_reply(kind: str, fields: list[Any]) -> Grant | Queued | Decline | None:
+def _decode_reply(
+    kind: str, fields: list[Any]
+) -> Grant | Queued | Decline | Refuse | None:
     """Return the message of a coordinator, or None if it is of another kind."""
     if kind == "grant":
         number, endpoint, cost_ms, backlog_ms, prefill_ms, cached, reserved = fields[:7]
@@ -267,6 +285,9 @@
     if kind == "decline":
         number, reason, draining = fields
         return Decline(int(number), str(reason), bool(draining))
+    if kind == "refuse":
+        number, reason, retry_after_s = fields
+        return Refuse(int(number), str(reason), max(0.0, _finite(retry_after_s)))
     return None
 
 
@@ -308,7 +329,7 @@
     if isinstance(message, Ended):
         fields = [message.number, message.success, message.failure_weight]
         return orjson.dumps(["end", list(message.sender), *fields])
-    kind = {Grant: "grant", Queued: "hold", Decline: "decline"}[type(message)]
+    kind = REPLY_KINDS[type(message)]
     return orjson.dumps([kind, *message])
 
 
--- a/src/shallotroad/gateway/coordination/placement_client.py
+++ b/src/shallotroad/gateway/coordination/placement_client.py
@@ -18,6 +18,7 @@
 from shallotroad.gateway.coordination.messages import Grant
 from shallotroad.gateway.coordination.messages import InFlightRequest
 from shallotroad.gateway.coordination.messages import Queued
+from shallotroad.gateway.coordination.messages import Refuse
 from shallotroad.gateway.coordination.messages import Report
 from shallotroad.gateway.coordination.messages import Sender
 from shallotroad.gateway.coordination.messages import Started
@@ -393,7 +394,7 @@
             return pending.replied.is_set()
         return True
 
-    def handle_reply(self, message: Grant | Queued | Decline) -> None:
+    def handle_reply(self, message: Grant | Queued | Decline | Refuse) -> None:
         """Pass a coordinator's reply to the placement request that waits for it.
 
         A decline by a draining coordinator counts as its loss, so that the next one is
@@ -412,6 +413,10 @@
         elif isinstance(message, Decline):
             error_type = CoordinatorLostError if message.draining else DeclinedError
             pending.grant.set_exception(error_type(message.reason))
+        elif isinstance(message, Refuse):
+            pending.grant.set_exception(
+                RefusedError(message.reason, retry_after_s=message.retry_after_s)
+            )
 
     # Reports of requests in flight
 
--- a/src/shallotroad/gateway/endpoint_registry.py
+++ b/src/shallotroad/gateway/endpoint_registry.py
@@ -104,6 +104,15 @@
             if load.record.service == service and not load.record.draining
         ]
 
+    def open_loads(self, service: str) -> list[EndpointLoad]:
+        """Return the active loads of a service outside closed data centres."""
+        closed_data_centres = self._closed_data_centres
+        return [
+            load
+            for load in self.active_loads(service)
+            if load.record.data_centre not in closed_data_centres
+        ]
+
     def filter_for(
         self, request: PlacementRequest, now_s: float
     ) -> Callable[[EndpointLoad], bool]:
--- a/src/shallotroad/gateway/job.py
+++ b/src/shallotroad/gateway/job.py
@@ -196,6 +196,9 @@
             excluded=frozenset(self.excluded) | unusable,
             regions=regions,
             expected_tokens=self.expected_tokens,
+            refusable=(
+                self.gap_tolerant and not self.possible_runs and not self.attempts
+            ),
         )
 
     @property
--- a/src/shallotroad/policy/endpoint_load.py
+++ b/src/shallotroad/policy/endpoint_load.py
@@ -96,6 +96,16 @@
     return tokens * DECODE_STEP_MS / 1000.0 / (1.0 - planned_prefill_share)
 
 
+def nominal_prefill_ms(tokens: int, cached: int = 0) -> float:
+    """Return the prefill time of a prompt at an engine of nominal speed.
+
+    ``tokens`` are the uncached tokens; ``cached`` the tokens before them that the
+    engine has cached and that attention still covers.
+    """
+    pairs = tokens * (cached + tokens / 2)
+    return tokens / PREFILL_TOKENS_PER_MS + pairs / ATTENTION_PAIRS_PER_MS
+
+
 class EndpointLoad:
     """Running requests, prefill backlog, slowness, failures and cached parts.
 
@@ -278,12 +288,9 @@
     def prefill_ms(self, tokens: int, cached: int = 0) -> float:
         """Return the expected prefill time of a prompt: nominal time times slowness.
 
-        ``tokens`` are the uncached tokens; ``cached`` the tokens before them that
-        the engine has cached and that attention still covers.
+        The parameters are those of ``nominal_prefill_ms``.
         """
-        pairs = tokens * (cached + tokens / 2)
-        nominal_ms = tokens / PREFILL_TOKENS_PER_MS + pairs / ATTENTION_PAIRS_PER_MS
-        return nominal_ms * self.slowness
+        return nominal_prefill_ms(tokens, cached) * self.slowness
 
     def update_slowness(
         self, expected_ms: float, observed_ms: float, assumed_slowness: float
--- a/src/shallotroad/policy/placement_request.py
+++ b/src/shallotroad/policy/placement_request.py
@@ -52,6 +52,9 @@
         empty name allows none.
     expected_tokens : int
         Expected tokens of the answer; 1 if the caller states none.
+    refusable : bool
+        Whether it may be refused as soon as its first event can't be in time. False
+        if it may have run already, so that a refusal would lose what was done.
     """
 
     service: str
@@ -68,6 +71,7 @@
     excluded: frozenset[str]
     regions: frozenset[str]
     expected_tokens: int = 1
+    refusable: bool = False
 
     def priority(self, now_s: float) -> tuple[int, int, bool, float]:
         """Return the sort key among queued requests; the lowest is placed first.
--- a/tests/engine_simulation.py
+++ b/tests/engine_simulation.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,7 @@
 if TYPE_CHECKING:
     from shallotroad.gateway.job import Job
     from shallotroad.policy.placement import Placement
+    from shallotroad.policy.placement_request import PlacementRequest
     from tests.gateway_builders import AdmissionFixture
 
 STEP_S = 0.0026
@@ -38,6 +40,7 @@
         self.slowness = placement.load.slowness
         self.intervals = EventIntervals()
         self.started = False
+        self.first_event_s = math.inf
         self.ended = asyncio.Event()
 
 
@@ -87,6 +90,7 @@
         now_s = asyncio.get_running_loop().time()
         if not stream.started:
             stream.started = True
+            stream.first_event_s = now_s
             self._record_first_event(stream, now_s)
         stream.intervals.record_events(1, now_s)
         step_ms = stream.intervals.take_step_ms(tokens_per_event=1)
@@ -113,12 +117,20 @@
         self.whole = 0
         self.cut = 0
         self.refused = 0
+        self.late = 0
+        self.refused_after_s: list[float] = []
+        self.retry_after_s: list[float] = []
 
     @property
     def cut_share(self) -> float:
         """Share of the admitted requests whose callers left before the end."""
         return self.cut / max(1, self.cut + self.whole)
 
+    @property
+    def late_share(self) -> float:
+        """Share of the admitted requests whose first event missed its objective."""
+        return self.late / max(1, self.cut + self.whole)
+
     @property
     def refused_share(self) -> float:
         """Share of all requests that were refused before they ran."""
@@ -129,15 +141,18 @@
     fixture: AdmissionFixture,
     engines: dict[str, SimulatedEngine],
     job: Job,
+    placement_request: PlacementRequest,
     answer_tokens: int,
     outcomes: Outcomes,
 ) -> None:
     """Place a request, and let its engine serve it until its caller leaves."""
     clock = fixture.clock
     try:
-        placement = await fixture.admission.place(job.placement_request(clock()))
-    except RefusedError:
+        placement = await fixture.admission.place(placement_request)
+    except RefusedError as error:
         outcomes.refused += 1
+        outcomes.refused_after_s.append(clock() - job.arrival_s)
+        outcomes.retry_after_s.append(error.retry_after_s)
         return
     engine = engines[placement.load.record.identifier]
     request = SimulatedRequest(
@@ -152,4 +167,6 @@
         engine.remove(request)
         outcomes.cut += 1
     placement.load.record_end(placement.due_s, started=request.started, now_s=clock())
+    if request.first_event_s > job.objective_s:
+        outcomes.late += 1
     fixture.admission.schedule_dispatch()
--- a/tests/unit/gateway/test_burst_of_long_prompts.py
+++ b/tests/unit/gateway/test_burst_of_long_prompts.py
@@ -74,6 +74,7 @@
         )
     fixture.endpoint_registry.loads[other].record_dispatch(9_000.0, fixture.clock())
     long_prompt_job = make_long_prompt_job("t", "o", fixture.clock())
+    long_prompt_job.attempts.append("e9")  # A retry is not refused early.
     fixture.clock.now_s += 2.0  # 2.0 s of its objective of 2.5 s have passed
     task = asyncio.create_task(
         fixture.admission.place(long_prompt_job.placement_request(fixture.clock()))
