Plan decode time by the lag of an engine's streams

Change: streams measure the pace that their answer needs by the pace that they have (policy/decode_pace.py), reports carry it, and a factor on the planned decode time of each engine follows it between 0.6 and 4.

--- a/src/shallotroad/gateway/coordination/coordinator.py
+++ b/src/shallotroad/gateway/coordination/coordinator.py
@@ -294,8 +294,8 @@
         if request.started and not current.started:
             current.load.record_first_event(current.due_s, now_s)
             current = current._replace(started=True)
-        if request.decode_step_ms:
-            current.load.record_decode_step(request.decode_step_ms, now_s)
+        if request.lag:
+            current.load.record_lag(request.lag)
         gateway.in_flight[request.number] = current
 
     def _remove_request(self, gateway: GatewayWork, number: int) -> None:
--- a/src/shallotroad/gateway/coordination/messages.py
+++ b/src/shallotroad/gateway/coordination/messages.py
@@ -122,9 +122,9 @@
     """A request that a gateway has in flight at an engine.
 
     ``gap_sensitive_tokens`` is the expected length of a gap-sensitive response, 0 for
-    any other. ``started`` is set once the first event has arrived. ``decode_step_ms``
-    is the time of a decode step of the engine that the stream's events since the last
-    report show, 0 if they show none.
+    any other. ``started`` is set once the first event has arrived. ``lag`` tells
+    how far a gap-tolerant stream lags behind the pace that it needs (``StreamPace``),
+    0 if that is not known.
     """
 
     number: int
@@ -132,7 +132,7 @@
     prefill_ms: float
     gap_sensitive_tokens: int
     started: bool
-    decode_step_ms: float = 0.0
+    lag: float = 0.0
 
 
 class Report(NamedTuple):
@@ -249,15 +249,15 @@
 
 def _decode_in_flight(fields: list[Any]) -> InFlightRequest:
     number, endpoint, prefill_ms, gap_sensitive_tokens, started = fields[:5]
-    # Gateways of earlier versions do not send the decode step.
-    decode_step_ms = fields[5] if len(fields) > 5 else 0.0
+    # Gateways of earlier versions do not send the lag.
+    lag = fields[5] if len(fields) > 5 else 0.0
     return InFlightRequest(
         int(number),
         str(endpoint),
         _finite(prefill_ms),
         int(gap_sensitive_tokens),
         bool(started),
-        max(0.0, _finite(decode_step_ms)),
+        max(0.0, _finite(lag)),
     )
 
 
--- a/src/shallotroad/gateway/coordination/placement_client.py
+++ b/src/shallotroad/gateway/coordination/placement_client.py
@@ -25,7 +25,7 @@
 from shallotroad.gateway.coordination.messages import Submit
 from shallotroad.gateway.exceptions import RefusedError
 from shallotroad.observability.event_log import log_event
-from shallotroad.policy.decode_step import EventIntervals
+from shallotroad.policy.decode_pace import StreamPace
 from shallotroad.policy.placement import Placement
 
 
@@ -82,16 +82,14 @@
     """A request in flight to an engine, and the name of its service.
 
     ``coordinator`` granted the endpoint; it is empty if this gateway chose it.
-    ``intervals`` are those between the events of its stream, each of which holds
-    ``tokens_per_event`` tokens.
+    ``pace`` has the events of its stream; None unless that is gap-tolerant.
     """
 
     request: InFlightRequest
     coordinator: str
     service: str
     load: EndpointLoad
-    intervals: EventIntervals
-    tokens_per_event: int
+    pace: StreamPace | None
 
 
 class PlacementClient:
@@ -246,13 +244,19 @@
             started=False,
         )
         engine = job.service.engine
+        pace = None
+        if job.gap_tolerant and engine is not None:
+            pace = StreamPace(
+                tokens_per_event=engine.tokens_per_event,
+                expected_tokens=job.expected_tokens,
+                end_s=job.end_s,
+            )
         self._in_flight[number] = PlacedRequest(
             request=request,
             coordinator=coordinator,
             service=job.service.name,
             load=placement.load,
-            intervals=EventIntervals(),
-            tokens_per_event=engine.tokens_per_event if engine is not None else 0,
+            pace=pace,
         )
         return placement._replace(number=number)
 
@@ -444,8 +448,8 @@
     def record_events(self, placement: Placement, count: int) -> None:
         """Record events of a stream that have arrived together now."""
         placed = self._in_flight.get(placement.number)
-        if placed is not None:
-            placed.intervals.record_events(count, self._clock())
+        if placed is not None and placed.pace is not None:
+            placed.pace.record_events(count, self._clock())
 
     def record_end(
         self, placement: Placement, *, success: bool, failure_weight: float = 0.0
@@ -475,7 +479,7 @@
         These are the first ``REPORTED_COORDINATORS`` of each service with requests in
         flight, those with pending requests, and those of the previous report.
         """
-        self._sample_decode_steps()
+        self._take_lags()
         services = {placed.service for placed in self._in_flight.values()}
         targets = {pending.coordinator for pending in self._pending.values()}
         for service in services:
@@ -485,18 +489,19 @@
             self._send_report(name)
         self._reported_to = targets
 
-    def _sample_decode_steps(self) -> None:
-        """Put the decode steps that streams have shown into the reported requests.
+    def _take_lags(self) -> None:
+        """Put the lags of streams since the last report into their requests.
 
         Those of the requests that were placed here count in this gateway's loads.
         """
-        now_s = self._clock()
         for number, placed in self._in_flight.items():
-            step_ms = placed.intervals.take_step_ms(placed.tokens_per_event) or 0.0
-            request = placed.request._replace(decode_step_ms=round(step_ms, 2))
+            if placed.pace is None:
+                continue
+            lag = round(placed.pace.take_lag() or 0.0, 2)
+            request = placed.request._replace(lag=lag)
             self._in_flight[number] = placed._replace(request=request)
-            if step_ms and not placed.coordinator:
-                placed.load.record_decode_step(step_ms, now_s)
+            if lag and not placed.coordinator:
+                placed.load.record_lag(lag)
 
     def _send_report(self, name: str) -> None:
         in_flight = tuple(placed.request for placed in self._in_flight.values())
--- a/src/shallotroad/policy/endpoint_load.py
+++ b/src/shallotroad/policy/endpoint_load.py
@@ -26,7 +26,7 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
-from shallotroad.policy.decode_step import DecodeStepModel
+from shallotroad.policy.decode_pace import DecodeFactor
 
 
 if TYPE_CHECKING:
@@ -157,7 +157,7 @@
         self._debt_ms = 0.0
         self._debt_updated_s = now_s
         self._part_tokens = 0
-        self._decode_step = DecodeStepModel()
+        self._decode_factor = DecodeFactor()
         self._failure_weight = 0.0
         self._success_weight = 0.0
         self._outcomes_decayed_s = now_s
@@ -316,26 +316,11 @@
         sample = min(MAX_SLOWNESS, max(MIN_SLOWNESS, assumed_slowness * ratio))
         self.slowness += SLOWNESS_SAMPLE_WEIGHT * (sample - self.slowness)
 
-    # Decode speed
+    # Decode pace
 
-    @property
-    def running_streams(self) -> int:
-        """Requests in flight that have had their first event."""
-        return self.running - self.awaiting_first_event
-
-    def record_decode_step(self, step_ms: float, now_s: float) -> None:
-        """Record the time of a decode step that a stream's events showed."""
-        self._decode_step.record(
-            streams=self.running_streams, step_ms=step_ms, now_s=now_s
-        )
-
-    @property
-    def decode_step_ms(self) -> float:
-        """Expected time of a decode step without prefill, with all requests in flight.
-
-        Those that await their first event count too: they will run beside the others.
-        """
-        return self._decode_step.predict_ms(self.running)
+    def record_lag(self, lag: float) -> None:
+        """Record how far a stream lags, as ``StreamPace.take_lag`` returns it."""
+        self._decode_factor.record_lag(lag)
 
     def plan_prefill_share(self, needed_tokens_per_ms: float) -> None:
         """Set ``prefill_share`` to what the decode of running streams leaves.
@@ -345,7 +330,8 @@
         needed_tokens_per_ms : float
             Tokens that each stream needs in a millisecond to be whole in time.
         """
-        self.prefill_share = prefill_share(needed_tokens_per_ms * self.decode_step_ms)
+        decode_share = needed_tokens_per_ms * DECODE_STEP_MS * self._decode_factor.value
+        self.prefill_share = prefill_share(decode_share)
 
     # Failures
 
@@ -423,7 +409,7 @@
         self.record = record
         self.last_seen_s = now_s
         self.slowness = 1.0
-        self._decode_step = DecodeStepModel()
+        self._decode_factor = DecodeFactor()
         self._parts.clear()
         self._part_tokens = 0
         self._failure_weight = 0.0
--- a/tests/engine_simulation.py
+++ b/tests/engine_simulation.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 from shallotroad.gateway.exceptions import RefusedError
-from shallotroad.policy.decode_step import EventIntervals
+from shallotroad.policy.decode_pace import StreamPace
 from shallotroad.policy.endpoint_load import FIRST_EVENT_OVERHEAD_MS
 
 
@@ -25,6 +25,7 @@
 STEP_S = 0.0026
 STEP_PER_STREAM_S = 0.0001
 CHUNK_TOKENS = 2048
+TOKENS_PER_EVENT = 9
 PREFILL_TOKENS_PER_S = 48_000
 
 
@@ -38,7 +39,12 @@
         self.answer_tokens = answer_tokens
         self.placed_s = asyncio.get_running_loop().time()
         self.slowness = placement.load.slowness
-        self.intervals = EventIntervals()
+        self.pace = StreamPace(
+            tokens_per_event=TOKENS_PER_EVENT,
+            expected_tokens=job.expected_tokens,
+            end_s=job.end_s,
+        )
+        self.tokens_since_event = 0
         self.started = False
         self.first_event_s = math.inf
         self.ended = asyncio.Event()
@@ -92,15 +98,23 @@
             stream.started = True
             stream.first_event_s = now_s
             self._record_first_event(stream, now_s)
-        stream.intervals.record_events(1, now_s)
-        step_ms = stream.intervals.take_step_ms(tokens_per_event=1)
-        if step_ms is not None:
-            stream.placement.load.record_decode_step(step_ms, now_s)
+        self._record_token(stream, now_s)
         stream.answer_tokens -= 1
         if stream.answer_tokens <= 0:
             self._streams.remove(stream)
             stream.ended.set()
 
+    def _record_token(self, stream: SimulatedRequest, now_s: float) -> None:
+        """Pass the tokens on in events, as a gateway does with those of an attempt."""
+        stream.tokens_since_event += 1
+        if stream.tokens_since_event < TOKENS_PER_EVENT:
+            return
+        stream.tokens_since_event = 0
+        stream.pace.record_events(1, now_s)
+        lag = stream.pace.take_lag()
+        if lag is not None:
+            stream.placement.load.record_lag(lag)
+
     def _record_first_event(self, stream: SimulatedRequest, now_s: float) -> None:
         """Update the load as a gateway does at the first event of an attempt."""
         placement = stream.placement
--- a/tests/unit/gateway/coordination/test_messages.py
+++ b/tests/unit/gateway/coordination/test_messages.py
@@ -11,6 +11,7 @@
 from shallotroad.gateway.coordination.messages import InFlightRequest
 from shallotroad.gateway.coordination.messages import Message
 from shallotroad.gateway.coordination.messages import Queued
+from shallotroad.gateway.coordination.messages import Refuse
 from shallotroad.gateway.coordination.messages import Report
 from shallotroad.gateway.coordination.messages import Sender
 from shallotroad.gateway.coordination.messages import Started
@@ -31,7 +32,8 @@
         Decline(3, "leaving", True),
         Started(SENDER, 3, 120),
         Ended(SENDER, 3, False, 0.5),
-        Report(SENDER, (InFlightRequest(1, "e1", 2.0, 0, True),), (7, 8)),
+        Report(SENDER, (InFlightRequest(1, "e1", 2.0, 0, True, 1.25),), (7, 8)),
+        Refuse(3, "no room in time", 1.5),
     ],
 )
 def test_decode_reverses_encode(message: Message) -> None:
@@ -62,3 +64,12 @@
 def test_incomplete_messages_are_rejected(data: bytes) -> None:
     with pytest.raises(MalformedMessageError):
         decode(data, 0.0)
+
+
+def test_messages_of_the_version_before_are_understood() -> None:
+    grant = decode(b'["grant",3,"e1",1.5,2.0,3.0,40,true]', 10.0)
+    assert isinstance(grant, Grant)
+    assert grant.slowness == 1.0
+    report = decode(b'["work",["g1",5],[[1,"e1",2.0,0,true]],[7]]', 10.0)
+    assert isinstance(report, Report)
+    assert report.in_flight[0].lag == 0.0
