Bound the decode factor by an engine's slowness

Streams that lag for a moment during a burst doubled the planned decode time twice, so that the engines prefilled less than they could for seconds after it.

Change: the factor counts up to twice the engine's slowness.

--- a/src/shallotroad/policy/endpoint_load.py
+++ b/src/shallotroad/policy/endpoint_load.py
@@ -57,6 +57,8 @@
 MIN_PREFILL_SHARE = 0.4
 # Nominal duration of a step of an engine with about 30 streams and no prefill.
 DECODE_STEP_MS = 10.0
+# Largest factor on the planned decode time of an engine of nominal prefill speed.
+MAX_DECODE_FACTOR_AT_NOMINAL_SPEED = 2.0
 # Fraction of an engine's KV cache that may hold prompt parts. At 1.0, nothing is set
 # aside for running requests.
 CACHE_SHARE = 1.0
@@ -330,8 +332,12 @@
         needed_tokens_per_ms : float
             Tokens that each stream needs in a millisecond to be whole in time.
         """
-        decode_share = needed_tokens_per_ms * DECODE_STEP_MS * self._decode_factor.value
-        self.prefill_share = prefill_share(decode_share)
+        # An engine that prefills slowly may decode slowly as well.
+        max_factor = MAX_DECODE_FACTOR_AT_NOMINAL_SPEED * max(1.0, self.slowness)
+        factor = min(max_factor, self._decode_factor.value)
+        self.prefill_share = prefill_share(
+            needed_tokens_per_ms * DECODE_STEP_MS * factor
+        )
 
     # Failures
 
