Place requests in cells of engines instead of whole services

Cause: one coordinator looked at all engines of its service for each request, 80 us at 27 engines, and was asked by all gateways: at the two-year size of 12,000 engines one decision would take tens of milliseconds, and the loss of one gateway concerned every caller.

Weighed: cells for each data centre on every site (a prompt that is cached in one cell is read again in the others, and the deployments of today have 6 to 59 engines); shards by prefix over all data centres (bytes between data centres, which are dear). Chosen: a service of up to 96 engines is one cell; a larger one is divided by data centre, and a large data centre into a power of two of cells by hashing its engines (policy/cells.py). Every gateway derives the same cells from the registered engines.

Change: the last shared part of a prompt chooses among the cells of the caller's data centre, so what shares it meets at one coordinator. Coordinators come from the data centre of their cell. A cell without room in two fifths of the objective, or that refuses at once, passes the request on to one other cell and is asked last for half a second. Reports hold only the requests of the cells that their receiver counts; their interval and the time after which a silent gateway is forgotten follow the number of gateways for each coordinator (the timeout equalled the interval at 320 gateways). Ranked members are kept for 0.2 s instead of being sorted for each request. Dumps and the log name cells.

--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -2,7 +2,7 @@
 
 The queue is ordered by tier and objective. Prompts are queued here and not in
 the engines, where they would delay the first events and the tokens of more
-urgent requests. On the coordinator of a service, this queue contains the
+urgent requests. On the coordinator of a cell, this queue contains the
 requests of all gateways.
 
 A request is gap-tolerant if its route allows far longer event gaps than another stream
@@ -43,6 +43,7 @@
     from shallotroad.catalog.configuration import Service
     from shallotroad.gateway.endpoint_registry import EndpointRegistry
     from shallotroad.platform.headers import PromptPart
+    from shallotroad.policy.cells import Cell
     from shallotroad.policy.cold_start import ColdStartLimiter
     from shallotroad.policy.endpoint_load import EndpointLoad
     from shallotroad.policy.placement import RankedEngine
@@ -121,26 +122,26 @@
     """Snapshots of endpoint loads at one time, shared by the placements of a dispatch.
 
     An ``EngineView`` holds the load of one endpoint, with or without an engine. Views
-    are computed once per service and refreshed for an endpoint that was given a
+    are computed once per cell and refreshed for an endpoint that was given a
     request. ``Admission.submit`` uses a round for its one request.
     """
 
     def __init__(self, *, endpoint_registry: EndpointRegistry, now_s: float) -> None:
         self._endpoint_registry = endpoint_registry
         self.now_s = now_s
-        self._views: dict[str, list[EngineView]] = {}
-        self._reserved: dict[str, frozenset[str]] = {}
+        self._views: dict[Cell, list[EngineView]] = {}
+        self._reserved: dict[Cell, frozenset[str]] = {}
 
-    def _service_views(self, service: str) -> list[EngineView]:
-        """Return the views of the endpoints of a service that are not draining."""
-        views = self._views.get(service)
+    def _cell_views(self, cell: Cell) -> list[EngineView]:
+        """Return the views of the endpoints of a cell that are not draining."""
+        views = self._views.get(cell)
         if views is None:
-            reserved = self._reserved[service] = (
-                self._endpoint_registry.reserved_endpoints(service)
+            reserved = self._reserved[cell] = (
+                self._endpoint_registry.reserved_endpoints(cell)
             )
-            views = self._views[service] = [
+            views = self._views[cell] = [
                 view_engine(load, reserved, self.now_s)
-                for load in self._endpoint_registry.active_loads(service)
+                for load in self._endpoint_registry.active_loads(cell)
             ]
         return views
 
@@ -151,25 +152,22 @@
         no other endpoint may serve the request.
         """
         allows = self._endpoint_registry.filter_for(request, self.now_s)
-        allowed = [
-            view for view in self._service_views(request.service) if allows(view.load)
-        ]
+        allowed = [view for view in self._cell_views(request.cell) if allows(view.load)]
         reachable = [v for v in allowed if v.load.avoided_until_s <= self.now_s]
         return reachable or allowed
 
-    def refresh(self, load: EndpointLoad) -> None:
+    def refresh(self, cell: Cell, load: EndpointLoad) -> None:
         """Recompute the view of an endpoint that was given a request."""
-        service = load.record.service
-        self._views[service] = [
-            view_engine(load, self._reserved[service], self.now_s)
+        self._views[cell] = [
+            view_engine(load, self._reserved[cell], self.now_s)
             if view.load is load
             else view
-            for view in self._views.get(service, ())
+            for view in self._views.get(cell, ())
         ]
 
 
 class QueueEstimate:
-    """Expected wait in the queue for the engines of a service.
+    """Expected wait in the queue for the engines of a cell.
 
     Parameters
     ----------
@@ -208,7 +206,7 @@
     Parameters
     ----------
     gateways_for_cold_start : callable
-        Returns, for a service, the names of the gateways that may send to its cold
+        Returns, for a cell, the names of the gateways that may send to its cold
         endpoints and among which the permitted rate is divided; normally its
         coordinator alone.
     prefix_reuse_s : float
@@ -224,7 +222,7 @@
         endpoint_registry: EndpointRegistry,
         catalog: Catalog,
         cold_start: ColdStartLimiter,
-        gateways_for_cold_start: Callable[[str], Sequence[str]],
+        gateways_for_cold_start: Callable[[Cell], Sequence[str]],
         prefix_reuse_s: float,
         clock: Callable[[], float],
     ) -> None:
@@ -309,7 +307,7 @@
         average = self._needed_tokens_per_ms.get(request.service, sample)
         average += NEEDED_SPEED_SAMPLE_WEIGHT * (sample - average)
         self._needed_tokens_per_ms[request.service] = average
-        for load in self._endpoint_registry.active_loads(request.service):
+        for load in self._endpoint_registry.active_loads(request.cell):
             load.plan_prefill_share(average)
 
     def record_surveyed_parts(self, parts: Sequence[PromptPart]) -> None:
@@ -417,13 +415,13 @@
         if not any(queued.request.refusable for queued in self._queue):
             return
         queues = {
-            service: QueueEstimate(loads=self._shared_loads(service), now_s=now_s)
-            for service in {queued.request.service for queued in self._queue}
+            cell: QueueEstimate(loads=self._shared_loads(cell), now_s=now_s)
+            for cell in {queued.request.cell for queued in self._queue}
         }
         kept: list[QueuedPlacement] = []
         refused: list[tuple[QueuedPlacement, float]] = []
         for queued in self._queue:
-            request, queue = queued.request, queues[queued.request.service]
+            request, queue = queued.request, queues[queued.request.cell]
             wait_s = queue.wait_s
             # A prompt whose own prefill takes longer than the objective may still be
             # served late, but it does not wait for others as well.
@@ -448,12 +446,12 @@
                 )
             )
 
-    def _shared_loads(self, service: str) -> list[EndpointLoad]:
+    def _shared_loads(self, cell: Cell) -> list[EndpointLoad]:
         """Return the loads of the engines that gap-tolerant requests use first."""
-        reserved = self._endpoint_registry.reserved_endpoints(service)
+        reserved = self._endpoint_registry.reserved_endpoints(cell)
         return [
             load
-            for load in self._endpoint_registry.open_loads(service)
+            for load in self._endpoint_registry.open_loads(cell)
             if load.record.identifier not in reserved
         ]
 
@@ -472,18 +470,19 @@
                 self._log_queue(last_logged_s)
 
     def _log_queue(self, now_s: float) -> None:
-        """Log the queue, and the endpoints of the service of its oldest request."""
+        """Log the queue, and the endpoints of the cell of its oldest request."""
         oldest = min(self._queue, key=lambda queued: queued.queued_at_s)
-        service = oldest.request.service
-        loads = self._endpoint_registry.active_loads(service)
+        cell = oldest.request.cell
+        loads = self._endpoint_registry.active_loads(cell)
         log_event(
             "work waits",
             waiting=len(self._queue),
             patient=sum(queued.request.profile.gap_tolerant for queued in self._queue),
             oldest_ms=round((now_s - oldest.queued_at_s) * 1000),
-            service=service,
+            service=cell.service,
+            cell=cell.name,
             endpoints=len(loads),
-            reserved=len(self._endpoint_registry.reserved_endpoints(service)),
+            reserved=len(self._endpoint_registry.reserved_endpoints(cell)),
             running=sum(load.running for load in loads),
             unstarted=sum(load.awaiting_first_event for load in loads),
             backlogs_ms=[
@@ -532,7 +531,7 @@
                 placement = self._record_placement(
                     request, service, ranked, placement_round.now_s
                 )
-                placement_round.refresh(load)
+                placement_round.refresh(request.cell, load)
                 return placement
         return None
 
@@ -570,7 +569,9 @@
         return self._cold_start.try_acquire(
             load.record.identifier,
             per_s=service.cold_requests_per_s,
-            gateways=self._gateways_for_cold_start(service.name),
+            gateways=self._gateways_for_cold_start(
+                self._endpoint_registry.cell_of(load)
+            ),
             now_s=now_s,
         )
 
--- a/src/shallotroad/gateway/cache_survey.py
+++ b/src/shallotroad/gateway/cache_survey.py
@@ -1,6 +1,6 @@
-"""Survey of the prompt parts that the engines of a service have cached.
+"""Survey of the prompt parts that the engines of a cell have cached.
 
-A gateway that begins to coordinate a service does not know the placements of its
+A gateway that begins to coordinate a cell does not know the placements of its
 predecessor. Without a survey, every cached prefix would be prefilled again after a
 coordinator is lost.
 """
@@ -28,25 +28,26 @@
 
     from shallotroad.gateway.endpoint_registry import EndpointRegistry
     from shallotroad.platform.headers import PromptPart
+    from shallotroad.policy.cells import Cell
     from shallotroad.policy.endpoint_load import EndpointLoad
 
 # Timeout of one engine's cache query. An engine responds only between two of its steps.
 RESPONSE_TIMEOUT_S = 0.25
 # After this long without a placement here, another gateway has been the coordinator.
 MIN_IDLE_S = 5.0
-# Each survey delays the engines, so a service is surveyed at most this often.
+# Each survey delays the engines, so a cell is surveyed at most this often.
 MIN_SURVEY_INTERVAL_S = 15.0
 HTTP_OK = 200
 MAX_LIST_BYTES = 4_194_304
 
 
 class CacheSurvey:
-    """Surveys a service's engines when this gateway begins to coordinate it.
+    """Surveys a cell's engines when this gateway begins to coordinate it.
 
     The factory and the coordinator set two callbacks. ``on_listed`` is called for each
     engine that responded, with the parts that it has cached but not its identifier;
     they are already recorded in its load. ``on_done`` is called without arguments after
-    each survey of a service, whether or not its engines responded.
+    each survey of a cell, whether or not its engines responded.
     """
 
     def __init__(
@@ -54,56 +55,57 @@
     ) -> None:
         self._endpoint_registry = endpoint_registry
         self._clock = clock
-        self._last_placement_s: dict[str, float] = {}
-        self._last_survey_s: dict[str, float] = {}
-        self._running: dict[str, asyncio.Task[None]] = {}
+        self._last_placement_s: dict[Cell, float] = {}
+        self._last_survey_s: dict[Cell, float] = {}
+        self._running: dict[Cell, asyncio.Task[None]] = {}
         self.on_done: Callable[[], None] = lambda: None
         self.on_listed: Callable[[list[PromptPart]], None] = lambda _: None
 
-    def refresh_if_stale(self, service: str) -> bool:
-        """Record a placement for a service; return whether a survey of it is running.
+    def refresh_if_stale(self, cell: Cell) -> bool:
+        """Record a placement in a cell; return whether a survey of it is running.
 
         A survey is started by the first placement in ``MIN_IDLE_S``, but not within
         ``MIN_SURVEY_INTERVAL_S`` of the previous survey.
         """
         now_s = self._clock()
-        idle_s = now_s - self._last_placement_s.get(service, -math.inf)
-        self._last_placement_s[service] = now_s
-        since_survey_s = now_s - self._last_survey_s.get(service, -math.inf)
+        idle_s = now_s - self._last_placement_s.get(cell, -math.inf)
+        self._last_placement_s[cell] = now_s
+        since_survey_s = now_s - self._last_survey_s.get(cell, -math.inf)
         if (
             idle_s > MIN_IDLE_S
             and since_survey_s > MIN_SURVEY_INTERVAL_S
-            and service not in self._running
+            and cell not in self._running
         ):
-            self._last_survey_s[service] = now_s
-            task = asyncio.create_task(self._survey(service))
-            self._running[service] = task
-        return service in self._running
+            self._last_survey_s[cell] = now_s
+            task = asyncio.create_task(self._survey(cell))
+            self._running[cell] = task
+        return cell in self._running
 
-    async def refresh(self, service: str, *, wait: bool) -> None:
+    async def refresh(self, cell: Cell, *, wait: bool) -> None:
         """Record a placement as ``refresh_if_stale`` does.
 
         With ``wait``, return only when a survey that is running has ended.
         """
-        if self.refresh_if_stale(service) and wait:
-            await asyncio.wait([self._running[service]])
+        if self.refresh_if_stale(cell) and wait:
+            await asyncio.wait([self._running[cell]])
 
-    async def _survey(self, service: str) -> None:
-        """Survey all engines of a service at once, then call ``on_done``."""
-        loads = self._endpoint_registry.active_loads(service)
+    async def _survey(self, cell: Cell) -> None:
+        """Survey all engines of a cell at once, then call ``on_done``."""
+        loads = self._endpoint_registry.active_loads(cell)
         try:
             counts = await asyncio.gather(
                 *(self._survey_engine(load) for load in loads)
             )
             log_event(
                 "caches surveyed",
-                service=service,
+                service=cell.service,
+                cell=cell.name,
                 engines=len(loads),
                 answered=sum(count >= 0 for count in counts),
                 parts=sum(count for count in counts if count > 0),
             )
         finally:
-            del self._running[service]
+            del self._running[cell]
             self.on_done()
 
     async def _survey_engine(self, load: EndpointLoad) -> int:
--- a/src/shallotroad/gateway/coordination/coordinator.py
+++ b/src/shallotroad/gateway/coordination/coordinator.py
@@ -1,10 +1,11 @@
 """Coordinator role of a gateway: places the requests of other gateways.
 
-The coordinator of a service counts the requests of all gateways at each engine, so that
-one queue and one view of the engines' load serve them all. Its successor receives the
-same reports and counts them too. ``Membership.rank_coordinators`` determines which
-gateway is the coordinator and which its successor. The state need not survive the
-process: a successor rebuilds it from the gateways' next reports.
+The coordinator of a cell (``policy.cells``) counts the requests of all gateways at each
+engine, so that one queue and one view of the engines' load serve them all. Its
+successor receives the same reports and counts them too.
+``Membership.rank_coordinators`` determines which gateway is the coordinator and which
+its successor. The state need not survive the process: a successor rebuilds it from the
+gateways' next reports.
 """
 
 from __future__ import annotations
@@ -42,12 +43,11 @@
 
     SendReply = Callable[[Message], None]
 
-# A gateway from which no message of any kind arrives for this long is considered dead
-# or unreachable. Up to 40 live gateways send reports every 0.25 s, eight in a timeout.
-# With more, the report interval grows in proportion, but the timeout does not: from 320
-# gateways (2 s), one that sends nothing else may be evicted between two reports; the
-# next report adds its in-flight requests again.
+# A gateway from which no message of any kind arrives for this long, or for so many of
+# its report intervals, is considered dead or unreachable.
 GATEWAY_TIMEOUT_S = 2.0
+GATEWAY_TIMEOUT_REPORTS = 4.0
+EVICTION_INTERVAL_S = 0.5
 
 
 class RemoteRequest(NamedTuple):
@@ -78,15 +78,17 @@
 class Coordinator:
     """Replies to other gateways' placement requests and counts their requests.
 
-    Each gateway has one for all services; it shares the queue of ``admission`` with
+    Each gateway has one for all cells; it shares the queue of ``admission`` with
     the gateway's own requests. Messages of an earlier incarnation of a gateway are
     ignored.
 
     Parameters
     ----------
     survey : CacheSurvey
-        Asks the engines of a service which prompt parts they have cached, when this
+        Asks the engines of a cell which prompt parts they have cached, when this
         gateway begins to coordinate it.
+    report_interval_s : callable
+        Returns the time between two reports of a gateway, in seconds.
     """
 
     def __init__(
@@ -97,7 +99,9 @@
         clock: Callable[[], float],
         draining: Callable[[], bool],
         survey: CacheSurvey,
+        report_interval_s: Callable[[], float],
     ) -> None:
+        self._report_interval_s = report_interval_s
         self._admission = admission
         self._endpoint_registry = endpoint_registry
         self._clock = clock
@@ -149,7 +153,7 @@
             reply(Queued(number))
         elif self._draining():
             reply(Decline(number, "leaving", draining=True))
-        elif self._survey.refresh_if_stale(message.request.service) and (
+        elif self._survey.refresh_if_stale(message.request.cell) and (
             message.request.profile.gap_tolerant
         ):
             # Only gap-tolerant requests wait for the survey: the others have short
@@ -162,7 +166,7 @@
     def _submit_after_survey(self) -> None:
         """Submit the gap-tolerant requests that were waiting for a cache survey.
 
-        Called after the survey of any service; requests whose service is still being
+        Called after the survey of any cell; requests whose cell is still being
         surveyed wait again.
         """
         awaiting, self._awaiting_survey = self._awaiting_survey, {}
@@ -322,12 +326,15 @@
     def evict_timed_out(self) -> None:
         """Remove gateways that timed out, with their in-flight and queued requests."""
         now_s = self._clock()
+        timeout_s = max(
+            GATEWAY_TIMEOUT_S, GATEWAY_TIMEOUT_REPORTS * self._report_interval_s()
+        )
         for name, gateway in list(self._gateways.items()):
-            if now_s - gateway.last_seen_s > GATEWAY_TIMEOUT_S:
+            if now_s - gateway.last_seen_s > timeout_s:
                 self._remove_gateway(name, "silent")
 
     async def evict_timed_out_periodically(self) -> None:
-        """Evict gateways that timed out, four times per timeout, until cancelled."""
+        """Evict gateways that timed out, twice a second, until cancelled."""
         while True:
-            await asyncio.sleep(GATEWAY_TIMEOUT_S / 4)
+            await asyncio.sleep(EVICTION_INTERVAL_S)
             self.evict_timed_out()
--- a/src/shallotroad/gateway/coordination/messages.py
+++ b/src/shallotroad/gateway/coordination/messages.py
@@ -178,6 +178,7 @@
         sorted(request.regions),
         request.expected_tokens,
         request.refusable,
+        request.cell_name,
     ]
 
 
@@ -197,6 +198,7 @@
     # Gateways of earlier versions do not send the expected tokens.
     expected_tokens = fields[14] if len(fields) > 14 else 1
     refusable = fields[15] if len(fields) > 15 else False
+    cell_name = fields[16] if len(fields) > 16 else ""
     times = [now_s + _finite(offset_ms) / MS_PER_S for offset_ms in offsets_ms]
     arrival_s, objective_s, end_s, deadline_s, last_start_s = times
     prompt_parts = tuple(
@@ -225,6 +227,7 @@
         regions=frozenset(map(str, regions)),
         expected_tokens=int(expected_tokens),
         refusable=bool(refusable),
+        cell_name=str(cell_name),
     )
 
 
--- a/src/shallotroad/gateway/coordination/placement_client.py
+++ b/src/shallotroad/gateway/coordination/placement_client.py
@@ -1,13 +1,15 @@
 """Client of the coordinators: obtains an endpoint for each job of this gateway.
 
-Requests for model engines are placed by the coordinator of their service. If no
-coordinator replies or it declines, the gateway places them itself, by its own view of
-the load. Requests for other services are always placed here.
+Requests for model engines are placed by the coordinator of a cell (``policy.cells``).
+If no coordinator replies or it declines, the gateway places them itself, by its own
+view of the load. If a cell has no room, another cell is asked. Requests for other
+services are always placed here.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -25,6 +27,8 @@
 from shallotroad.gateway.coordination.messages import Submit
 from shallotroad.gateway.exceptions import RefusedError
 from shallotroad.observability.event_log import log_event
+from shallotroad.policy.cells import Cell
+from shallotroad.policy.cells import rank_cells
 from shallotroad.policy.decode_pace import StreamPace
 from shallotroad.policy.placement import Placement
 
@@ -50,14 +54,20 @@
 MAX_UNANSWERED_SUBMISSIONS = 2
 # If none of these coordinators replies, the gateway places the request itself.
 MAX_COORDINATORS_TRIED = 4
-# The first coordinator of a service and its successor receive reports.
+# A request is passed on to at most so many cells.
+MAX_CELLS_TRIED = 2
+# Share of its objective for which a request waits in a cell before it asks another one.
+CELL_WAIT_OBJECTIVE_SHARE = 0.4
+# A cell without room is asked last for this long.
+FULL_CELL_AVOIDANCE_S = 0.5
+# The first coordinator of a cell and its successor receive reports.
 REPORTED_COORDINATORS = 2
 # After so many grants of unusable endpoints, the gateway places the request itself.
 MAX_GRANT_ATTEMPTS = 3
 # By then gossip shows whether a coordinator is dead.
 COORDINATOR_AVOIDANCE_S = 5.0
 REPORT_INTERVAL_S = 0.25
-# With more live gateways, the report interval grows in proportion.
+# With more gateways for each coordinator, the report interval grows in proportion.
 MAX_GATEWAYS_AT_FULL_REPORT_RATE = 40
 
 
@@ -68,6 +78,7 @@
     """
 
     coordinator: str
+    cell: Cell
     grant: asyncio.Future[Grant]
     replied: asyncio.Event
 
@@ -79,7 +90,7 @@
 
 
 class PlacedRequest(NamedTuple):
-    """A request in flight to an engine, and the name of its service.
+    """A request in flight to an engine.
 
     ``coordinator`` granted the endpoint; it is empty if this gateway chose it.
     ``pace`` has the events of its stream; None unless that is gap-tolerant.
@@ -87,7 +98,6 @@
 
     request: InFlightRequest
     coordinator: str
-    service: str
     load: EndpointLoad
     pace: StreamPace | None
 
@@ -119,8 +129,9 @@
         self._pending: dict[int, PendingPlacement] = {}
         self._in_flight: dict[int, PlacedRequest] = {}
         self._avoided_until_s: dict[str, float] = {}
-        # Coordinators that still count requests of this gateway.
-        self._reported_to: set[str] = set()
+        self._full_until_s: dict[Cell, float] = {}
+        # Coordinators that still count requests of this gateway, and in which cells.
+        self._reported_to: dict[str, set[Cell]] = {}
 
     # Placement
 
@@ -138,31 +149,98 @@
         started_s = self._clock()
         try:
             if job.service.engine is None:
-                return await self._admission.place(self._placement_request(job))
+                every_endpoint = Cell(job.service.name)
+                return await self._admission.place(
+                    self._placement_request(job, every_endpoint)
+                )
             return await self._place_on_engine(job)
         finally:
             job.waited_ms += (self._clock() - started_s) * 1000
 
-    def _placement_request(self, job: Job) -> PlacementRequest:
-        return job.placement_request(
-            self._clock(), self._endpoint_registry.unusable_endpoints(job.service.name)
+    def _placement_request(self, job: Job, cell: Cell) -> PlacementRequest:
+        request = job.placement_request(
+            self._clock(), self._endpoint_registry.unusable_endpoints(cell)
         )
+        return request._replace(cell_name=cell.name)
+
+    def _ranked_cells(self, job: Job) -> list[Cell]:
+        """Return the cells to ask for a job, at least one, the preferred one first.
+
+        Cells without a usable engine are left out, and those that had no room a moment
+        ago come last.
+        """
+        service = job.service.name
+        cells = self._endpoint_registry.cells(service)
+        if len(cells.names) == 1:
+            return [Cell(service, cells.names[0])]
+        parts = job.profile.parts
+        part = parts[-2:][0].identifier if parts else job.request.request_id
+        ranked = [
+            Cell(service, name)
+            for name in rank_cells(
+                cells, data_centre=job.profile.data_centre, part=part
+            )
+        ]
+        now_s = self._clock()
+        ranked.sort(key=lambda cell: self._full_until_s.get(cell, 0.0) > now_s)
+        usable = [
+            cell
+            for cell in ranked
+            if self._endpoint_registry.usable_loads(self._placement_request(job, cell))
+        ]
+        return usable[:MAX_CELLS_TRIED] or ranked[:1]
 
     async def _place_on_engine(self, job: Job) -> Placement:
+        """Ask the cells of the service in turn for a placement.
+
+        A cell but the last has room within ``CELL_WAIT_OBJECTIVE_SHARE`` of the job's
+        objective, or the next one is asked.
+        """
+        *others, last = self._ranked_cells(job)
+        for cell in others:
+            now_s = self._clock()
+            wait_s = CELL_WAIT_OBJECTIVE_SHARE * job.route.objective_ms / 1000
+            try:
+                return await self._place_in_cell(job, cell, now_s + wait_s)
+            except RefusedError as error:
+                self._full_until_s[cell] = self._clock() + FULL_CELL_AVOIDANCE_S
+                log_event(
+                    "cell without room",
+                    request=job.request.request_id,
+                    service=cell.service,
+                    cell=cell.name,
+                    why=error.reason,
+                    waited_ms=round((self._clock() - now_s) * 1000),
+                )
+        return await self._place_in_cell(job, last, math.inf)
+
+    async def _place_in_cell(
+        self, job: Job, cell: Cell, last_start_s: float
+    ) -> Placement:
         """Ask the coordinators in order for a placement; place the job here if needed.
 
         The next one is asked if a coordinator does not reply or is draining. The job is
         placed here when this gateway is the next coordinator, one declines, or
         ``MAX_COORDINATORS_TRIED`` are lost. In the first case, a gap-tolerant job waits
         for a cache survey that is running.
+
+        Parameters
+        ----------
+        last_start_s : float
+            Time until which it may wait in this cell, if that is earlier than the
+            job's own last start time.
+
+        Raises
+        ------
+        RefusedError
+            When the cell has no usable endpoint, or none that has room in time.
         """
-        service = job.service.name
-        for name in self._coordinators(service)[:MAX_COORDINATORS_TRIED]:
+        for name in self._coordinators(cell)[:MAX_COORDINATORS_TRIED]:
             if name == self._membership.name:
-                await self._survey.refresh(service, wait=job.profile.gap_tolerant)
+                await self._survey.refresh(cell, wait=job.profile.gap_tolerant)
                 break
             try:
-                return await self._submit_to(name, job)
+                return await self._submit_to(name, job, cell, last_start_s)
             except DeclinedError as error:
                 log_event(
                     "placement declined",
@@ -173,9 +251,18 @@
                 break
             except CoordinatorLostError as error:
                 self._mark_lost(name, job, str(error))
-        placement = await self._admission.place(self._placement_request(job))
+        placement = await self._admission.place(
+            self._bounded_request(job, cell, last_start_s)
+        )
         return self._track(job, placement, self._next_number(), "")
 
+    def _bounded_request(
+        self, job: Job, cell: Cell, last_start_s: float
+    ) -> PlacementRequest:
+        """Return a job's placement request for a cell with a bound on its wait."""
+        request = self._placement_request(job, cell)
+        return request._replace(last_start_s=min(request.last_start_s, last_start_s))
+
     def _mark_lost(self, coordinator: str, job: Job, reason: str) -> None:
         """Avoid a coordinator for a while, and fail what is pending there.
 
@@ -193,30 +280,36 @@
         log_event(
             "coordinator lost",
             coordinator=coordinator,
-            service=job.service.name,
             request=job.request.request_id,
             why=reason,
             asking=len(affected),
         )
 
-    def _coordinators(self, service: str) -> list[str]:
-        """Return the live coordinators that are not avoided, the preferred one first.
+    def coordinators(self, cell: Cell) -> list[str]:
+        """Return the live gateways that may coordinate a cell, the preferred one first.
 
-        Every live gateway that is not draining can coordinate any service.
+        Every live gateway that is not draining can coordinate any cell.
         ``Membership.rank_coordinators`` orders them: those that have just started come
-        last, those with more cores earlier, and ties are broken by rendezvous hashing.
-        The list includes this gateway unless it is draining.
+        last, those of the cell's data centre and those with more cores earlier, and
+        ties are broken by rendezvous hashing. The list includes this gateway unless it
+        is draining.
         """
+        return self._membership.rank_coordinators(
+            cell.key, self._clock(), data_centre=cell.data_centre
+        )
+
+    def _coordinators(self, cell: Cell) -> list[str]:
+        """Return the coordinators of a cell that are not avoided."""
         now_s = self._clock()
-        ranked = self._membership.rank_coordinators(service, now_s)
+        ranked = self.coordinators(cell)
         return [
             name for name in ranked if self._avoided_until_s.get(name, 0.0) <= now_s
         ]
 
-    def gateways_for_cold_start(self, service: str) -> list[str]:
+    def gateways_for_cold_start(self, cell: Cell) -> list[str]:
         """Return the gateways among which a cold endpoint's request rate may be shared.
 
-        ``cold_start_gateways`` selects from them. Normally the result is the service's
+        ``cold_start_gateways`` selects from them. Normally the result is the cell's
         coordinator alone, even if it is avoided. Until ``Membership.has_converged``
         (the first ``CONVERGENCE_S``, 5 s, of this process), and while fewer than half
         of the known gateways are live, it is all known gateways, this one included: a
@@ -225,7 +318,7 @@
         now_s = self._clock()
         membership = self._membership
         if membership.has_converged(now_s) and membership.sees_half(now_s):
-            return membership.rank_coordinators(service, now_s)[:1]
+            return self.coordinators(cell)[:1]
         return membership.known_names()
 
     def _next_number(self) -> int:
@@ -254,13 +347,14 @@
         self._in_flight[number] = PlacedRequest(
             request=request,
             coordinator=coordinator,
-            service=job.service.name,
             load=placement.load,
             pace=pace,
         )
         return placement._replace(number=number)
 
-    async def _submit_to(self, coordinator: str, job: Job) -> Placement:
+    async def _submit_to(
+        self, coordinator: str, job: Job, cell: Cell, last_start_s: float
+    ) -> Placement:
         """Return a coordinator's placement of a job on an endpoint usable from here.
 
         Raises
@@ -277,12 +371,14 @@
             start time passes without a grant.
         """
         unusable: set[str] = set()
-        if coordinator not in self._reported_to:
+        reported_cells = self._reported_to.setdefault(coordinator, set())
+        if cell not in reported_cells:
             # Without a report it would consider busy engines idle.
+            reported_cells.add(cell)
             self._send_report(coordinator)
         for _ in range(MAX_GRANT_ATTEMPTS):
             number = self._next_number()
-            placement_request = self._placement_request(job)
+            placement_request = self._bounded_request(job, cell, last_start_s)
             placement_request = placement_request._replace(
                 excluded=placement_request.excluded | unusable
             )
@@ -350,7 +446,10 @@
             When the request's last start time passes.
         """
         pending = PendingPlacement(
-            coordinator, asyncio.get_running_loop().create_future(), asyncio.Event()
+            coordinator,
+            placement_request.cell,
+            asyncio.get_running_loop().create_future(),
+            asyncio.Event(),
         )
         self._pending[number] = pending
         last_start_s = placement_request.last_start_s
@@ -476,18 +575,24 @@
     def report(self) -> None:
         """Send this gateway's open requests to the coordinators concerned.
 
-        These are the first ``REPORTED_COORDINATORS`` of each service with requests in
+        These are the first ``REPORTED_COORDINATORS`` of each cell with requests in
         flight, those with pending requests, and those of the previous report.
         """
         self._take_lags()
-        services = {placed.service for placed in self._in_flight.values()}
-        targets = {pending.coordinator for pending in self._pending.values()}
-        for service in services:
-            targets |= set(self._coordinators(service)[:REPORTED_COORDINATORS])
-        targets.discard(self._membership.name)
-        for name in targets | self._reported_to:
+        targets: dict[str, set[Cell]] = {}
+        for pending in self._pending.values():
+            targets.setdefault(pending.coordinator, set()).add(pending.cell)
+        cells = {
+            self._endpoint_registry.cell_of(placed.load)
+            for placed in self._in_flight.values()
+        }
+        for cell in cells:
+            for name in self._coordinators(cell)[:REPORTED_COORDINATORS]:
+                targets.setdefault(name, set()).add(cell)
+        targets.pop(self._membership.name, None)
+        previous, self._reported_to = self._reported_to, targets
+        for name in targets.keys() | previous.keys():
             self._send_report(name)
-        self._reported_to = targets
 
     def _take_lags(self) -> None:
         """Put the lags of streams since the last report into their requests.
@@ -504,16 +609,30 @@
                 placed.load.record_lag(lag)
 
     def _send_report(self, name: str) -> None:
-        in_flight = tuple(placed.request for placed in self._in_flight.values())
+        """Send a coordinator the open requests in the cells that it counts."""
+        cells = self._reported_to.get(name, set())
+        in_flight = tuple(
+            placed.request
+            for placed in self._in_flight.values()
+            if self._endpoint_registry.cell_of(placed.load) in cells
+        )
         self._send(name, Report(self._sender, in_flight, tuple(self._pending)))
-        self._reported_to.add(name)
+
+    def report_interval_s(self) -> float:
+        """Return the time between two reports.
+
+        It grows with the gateways that report to one coordinator, which are about those
+        of one data centre where services are divided into cells.
+        """
+        gateways = len(self._membership.live_names(self._clock()))
+        hosts = self._endpoint_registry.cell_hosts()
+        per_coordinator = gateways / max(1, hosts)
+        return REPORT_INTERVAL_S * max(
+            1.0, per_coordinator / MAX_GATEWAYS_AT_FULL_REPORT_RATE
+        )
 
     async def report_periodically(self) -> None:
-        """Send reports until cancelled, at an interval that grows with the gateways."""
+        """Send reports until cancelled."""
         while True:
-            gateways = len(self._membership.live_names(self._clock()))
-            await asyncio.sleep(
-                REPORT_INTERVAL_S
-                * max(1.0, gateways / MAX_GATEWAYS_AT_FULL_REPORT_RATE)
-            )
+            await asyncio.sleep(self.report_interval_s())
             self.report()
--- a/src/shallotroad/gateway/endpoint_registry.py
+++ b/src/shallotroad/gateway/endpoint_registry.py
@@ -5,6 +5,9 @@
 from typing import TYPE_CHECKING
 
 from shallotroad.observability.event_log import log_event
+from shallotroad.policy.cells import Cell
+from shallotroad.policy.cells import CellMap
+from shallotroad.policy.cells import divide
 from shallotroad.policy.endpoint_load import EndpointLoad
 from shallotroad.policy.placement import reserved_engines
 from shallotroad.upstream.pool import ConnectionPool
@@ -44,6 +47,8 @@
         self._regions = regions
         self.loads: dict[str, EndpointLoad] = {}
         self._pools: dict[str, ConnectionPool] = {}
+        self._cell_maps: dict[str, CellMap] = {}
+        self._cell_loads: dict[Cell, list[EndpointLoad]] = {}
         self.on_changed: Callable[[], None] = lambda: None
 
     def put(self, record: EndpointRecord) -> None:
@@ -70,14 +75,18 @@
             log_event("endpoint restarted", endpoint=record.identifier)
         if record.draining and not load.record.draining:
             log_event("endpoint draining", endpoint=record.identifier)
+        self._forget_cells(load.record.service)
         load.record = record
+        self._forget_cells(record.service)
         if record.cold_remaining_ms > 0:
             load.cold_until_s = now_s + record.cold_remaining_ms / 1000
         self.on_changed()
 
     def remove(self, identifier: str) -> None:
         """Remove an endpoint; responses in flight are not interrupted."""
-        self.loads.pop(identifier, None)
+        load = self.loads.pop(identifier, None)
+        if load is not None:
+            self._forget_cells(load.record.service)
         pool = self._pools.pop(identifier, None)
         if pool is not None:
             pool.close()
@@ -96,20 +105,57 @@
         """Return the connection pool of an endpoint, or None if it is not known."""
         return self._pools.get(identifier)
 
-    def active_loads(self, service: str) -> list[EndpointLoad]:
-        """Return the loads of the endpoints of a service that are not draining."""
-        return [
-            load
-            for load in self.loads.values()
-            if load.record.service == service and not load.record.draining
-        ]
-
-    def open_loads(self, service: str) -> list[EndpointLoad]:
-        """Return the active loads of a service outside closed data centres."""
+    def cells(self, service: str) -> CellMap:
+        """Return the cells of a service, draining endpoints included."""
+        cells = self._cell_maps.get(service)
+        if cells is None:
+            cells = self._cell_maps[service] = divide(
+                {
+                    name: load.record.data_centre
+                    for name, load in self.loads.items()
+                    if load.record.service == service
+                }
+            )
+        return cells
+
+    def cell_hosts(self) -> int:
+        """Return the number of data centres with cells, of the most divided service."""
+        return max((len(cells.hosts) for cells in self._cell_maps.values()), default=0)
+
+    def cell_of(self, load: EndpointLoad) -> Cell:
+        """Return the cell of an endpoint."""
+        service = load.record.service
+        by_engine = self.cells(service).by_engine
+        return Cell(service, by_engine.get(load.record.identifier, ""))
+
+    def _loads_of(self, cell: Cell) -> list[EndpointLoad]:
+        """Return the loads of the endpoints of a cell, draining ones included."""
+        loads = self._cell_loads.get(cell)
+        if loads is None:
+            loads = self._cell_loads[cell] = [
+                load
+                for load in self.loads.values()
+                if load.record.service == cell.service
+                and (not cell.name or self.cell_of(load) == cell)
+            ]
+        return loads
+
+    def _forget_cells(self, service: str) -> None:
+        """Discard what was derived from the endpoints of a service."""
+        self._cell_maps.pop(service, None)
+        for cell in [cell for cell in self._cell_loads if cell.service == service]:
+            del self._cell_loads[cell]
+
+    def active_loads(self, cell: Cell) -> list[EndpointLoad]:
+        """Return the loads of the endpoints of a cell that are not draining."""
+        return [load for load in self._loads_of(cell) if not load.record.draining]
+
+    def open_loads(self, cell: Cell) -> list[EndpointLoad]:
+        """Return the active loads of a cell outside closed data centres."""
         closed_data_centres = self._closed_data_centres
         return [
             load
-            for load in self.active_loads(service)
+            for load in self.active_loads(cell)
             if load.record.data_centre not in closed_data_centres
         ]
 
@@ -143,12 +189,12 @@
         """
         now_s = self._clock()
         allows = self.filter_for(request, now_s)
-        allowed = [load for load in self.active_loads(request.service) if allows(load)]
+        allowed = [load for load in self.active_loads(request.cell) if allows(load)]
         reachable = [load for load in allowed if load.avoided_until_s <= now_s]
         return reachable or allowed
 
-    def unusable_endpoints(self, service: str) -> frozenset[str]:
-        """Return the endpoints of a service that this gateway must not use now.
+    def unusable_endpoints(self, cell: Cell) -> frozenset[str]:
+        """Return the endpoints of a cell that this gateway must not use now.
 
         These are draining, in a closed data centre, or avoided after a connection
         failure.
@@ -156,18 +202,15 @@
         now_s = self._clock()
         closed_data_centres = self._closed_data_centres
         return frozenset(
-            name
-            for name, load in self.loads.items()
-            if load.record.service == service
-            and (
-                load.record.draining
-                or load.record.data_centre in closed_data_centres
-                or load.avoided_until_s > now_s
-            )
+            load.record.identifier
+            for load in self._loads_of(cell)
+            if load.record.draining
+            or load.record.data_centre in closed_data_centres
+            or load.avoided_until_s > now_s
         )
 
-    def reserved_endpoints(self, service: str) -> frozenset[str]:
-        """Return the engines of a service reserved for gap-sensitive streams.
+    def reserved_endpoints(self, cell: Cell) -> frozenset[str]:
+        """Return the engines of a cell reserved for gap-sensitive streams.
 
         ``reserved_engines`` selects them by rendezvous hashing among the endpoints that
         are not draining. Their number follows the share of gap-sensitive streams in the
@@ -176,10 +219,10 @@
         endpoints.
         """
         now_s = self._clock()
-        loads = self.active_loads(service)
+        loads = self.active_loads(cell)
         recent_work = [load.recent_work_ms(now_s) for load in loads]
         return reserved_engines(
-            service,
+            cell.service,
             [load.record.identifier for load in loads],
             gap_sensitive_ms=sum(gap_sensitive for gap_sensitive, _ in recent_work),
             other_ms=sum(other for _, other in recent_work),
--- a/src/shallotroad/gateway/exports.py
+++ b/src/shallotroad/gateway/exports.py
@@ -10,6 +10,7 @@
 
 from shallotroad.gateway.metrics import make_gauge_updater
 from shallotroad.http_server.message import Response
+from shallotroad.policy.cells import Cell
 
 
 if TYPE_CHECKING:
@@ -34,7 +35,7 @@
 
     ``version`` is that of the configuration, None before the first; ``silent_s`` the
     time since the last contact with the store; ``live_entries`` the live gateways;
-    ``coordinators`` the first two for each service with an engine;
+    ``coordinators`` the first two for each cell of a service with an engine;
     ``granted_to_others`` the number of other gateways' requests in flight that this
     gateway counts; ``waiting`` that of the queued requests; and ``stopping`` whether
     the gateway is draining. Each of the ``endpoints`` has the figures of its
@@ -56,11 +57,15 @@
         "closed_data_centres": sorted(components.catalog.closed_data_centres),
         "live_entries": components.membership.live_names(now_s),
         "coordinators": {
-            name: components.membership.rank_coordinators(name, now_s)[:2]
+            cell.key: components.placement_client.coordinators(cell)[:2]
             for name, service in (
                 configuration.services if configuration else {}
             ).items()
             if service.engine is not None
+            for cell in (
+                Cell(name, cell_name)
+                for cell_name in components.endpoint_registry.cells(name).names
+            )
         },
         "granted_to_others": components.coordinator.remote_in_flight_count,
         "waiting": components.admission.queue_length,
--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -149,8 +149,8 @@
         endpoint_registry=endpoint_registry,
         catalog=catalog,
         cold_start=ColdStartLimiter(gateway=settings.name),
-        gateways_for_cold_start=lambda service: (
-            placement_client.gateways_for_cold_start(service)
+        gateways_for_cold_start=lambda cell: placement_client.gateways_for_cold_start(
+            cell
         ),
         prefix_reuse_s=settings.bounds.prefix_reuse_s,
         clock=clock,
@@ -171,6 +171,7 @@
         clock=clock,
         draining=lambda: frontend.draining,
         survey=survey,
+        report_interval_s=placement_client.report_interval_s,
     )
     coordination_protocol.set_handlers(
         coordinator=coordinator, placement_client=placement_client
--- a/src/shallotroad/gateway/membership.py
+++ b/src/shallotroad/gateway/membership.py
@@ -33,6 +33,8 @@
 # Fraction of a newcomer's cores that counts, because each change of coordinator is
 # costly.
 NEWCOMER_CORES_FACTOR = 0.5
+# A ranking of all members costs too much to make it for each request.
+RANKING_MAX_AGE_S = 0.2
 # Fraction of exchanges that leave the data centre, where traffic is expensive.
 CROSS_DATA_CENTRE_SHARE = 0.4
 # Peers needed in the gateway's own data centre before they are preferred.
@@ -129,6 +131,13 @@
     return hashlib.blake2b(f"{key} {name}".encode(), digest_size=8).digest()
 
 
+class Ranking(NamedTuple):
+    """Names of gateways in an order of preference, and when it was made."""
+
+    made_s: float
+    names: list[str]
+
+
 class Membership:
     """The members that this gateway knows, itself included.
 
@@ -166,6 +175,7 @@
         self._left = False
         self._seeds = [seed for seed in seeds if seed != address]
         self._members: dict[str, Member] = {}
+        self._rankings: dict[tuple[str, str], Ranking] = {}
 
     def replace_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seed addresses; the gateway's own address is left out."""
@@ -178,6 +188,7 @@
     def leave(self) -> None:
         """Announce in further exchanges that this gateway is draining."""
         self._left = True
+        self._rankings.clear()
 
     def live_names(self, now_s: float) -> list[str]:
         """Return the names of the live gateways, sorted.
@@ -241,14 +252,31 @@
             members.append(self._own_member())
         return members
 
-    def rank_coordinators(self, service: str, now_s: float) -> list[str]:
-        """Return the gateways that may coordinate a service, the preferred one first.
+    def rank_coordinators(
+        self, key: str, now_s: float, *, data_centre: str = ""
+    ) -> list[str]:
+        """Return the gateways that may coordinate a cell, the preferred one first.
 
         These are the live members, and this gateway unless it is draining; the list may
-        be empty. Members that have just started come last, members with more cores come
-        earlier, and ties are broken by rendezvous hashing.
+        be empty. Members that have just started come last, those of the data centre
+        come first, members with more cores come earlier, and ties are broken by
+        rendezvous hashing. The list is at most ``RANKING_MAX_AGE_S`` old.
+
+        Parameters
+        ----------
+        key : str
+            Key for the rendezvous hashing.
+        now_s : float
+            Monotonic time in seconds.
+        data_centre : str
+            Preferred data centre; empty for none.
         """
-        return self._rank(service, self._active_members(now_s))
+        ranking = self._rankings.get((key, data_centre))
+        if ranking is None or not 0 <= now_s - ranking.made_s < RANKING_MAX_AGE_S:
+            members = self._active_members(now_s)
+            names = self._rank(key, members, data_centre=data_centre)
+            ranking = self._rankings[key, data_centre] = Ranking(now_s, names)
+        return ranking.names
 
     def rank_local_members(self, now_s: float) -> list[str]:
         """Return the gateways of the own data centre, ranked like coordinators."""
@@ -259,7 +287,9 @@
         ]
         return self._rank(self._data_centre, local)
 
-    def _rank(self, key: str, members: list[Member]) -> list[str]:
+    def _rank(
+        self, key: str, members: list[Member], *, data_centre: str = ""
+    ) -> list[str]:
         """Return the names of members in the order that a key's hashing gives."""
         if not members:
             return []
@@ -267,6 +297,7 @@
         members.sort(
             key=lambda member: (
                 member.heartbeats >= MIN_COORDINATOR_HEARTBEATS,
+                member.data_centre == data_centre,
                 round(_counted_cores(member, oldest) / CORES_STEP),
                 _rendezvous_weight(key, member.name),
             ),
@@ -330,6 +361,9 @@
                 continue
             if current is None or current.incarnation != member.incarnation:
                 new_names.append(member.name)
+                self._rankings.clear()
+            elif member.left != current.left:
+                self._rankings.clear()
             self._members[member.name] = member
         return new_names
 
--- a/src/shallotroad/policy/placement_request.py
+++ b/src/shallotroad/policy/placement_request.py
@@ -8,6 +8,8 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from shallotroad.policy.cells import Cell
+
 
 if TYPE_CHECKING:
     from shallotroad.policy.placement import RequestProfile
@@ -52,6 +54,8 @@
         empty name allows none.
     expected_tokens : int
         Expected tokens of the answer; 1 if the caller states none.
+    cell_name : str
+        Cell of the service on whose engines it is placed; empty for all of them.
     refusable : bool
         Whether it may be refused as soon as its first event can't be in time. False
         if it may have run already, so that a refusal would lose what was done.
@@ -72,6 +76,7 @@
     regions: frozenset[str]
     expected_tokens: int = 1
     refusable: bool = False
+    cell_name: str = ""
 
     def priority(self, now_s: float) -> tuple[int, int, bool, float]:
         """Return the sort key among queued requests; the lowest is placed first.
@@ -83,6 +88,11 @@
         late = now_s > self.objective_s
         return (self.tier, self.route_tier, late, self.objective_s)
 
+    @property
+    def cell(self) -> Cell:
+        """Cell on whose endpoints the request is placed."""
+        return Cell(self.service, self.cell_name)
+
     @property
     def objective_ms(self) -> float:
         """Time from the arrival to the objective, in milliseconds."""
--- a/tests/coordination_builders.py
+++ b/tests/coordination_builders.py
@@ -14,10 +14,14 @@
 from tests.gateway_builders import AdmissionFixture
 from tests.gateway_builders import Clock
 from tests.gateway_builders import make_admission_fixture
+from tests.gateway_builders import make_record
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from shallotroad.policy.cells import Cell
 
 
 class LoopClock(Clock):
@@ -69,7 +73,7 @@
 
     in_progress = False
 
-    def refresh_if_stale(self, service: str) -> bool:
+    def refresh_if_stale(self, cell: Cell) -> bool:
         return self.in_progress
 
     def finish(self) -> None:
@@ -92,7 +96,9 @@
     survey: FakeCacheSurvey
 
 
-def make_gateway(network: Network, name: str, *, cores: float = 1.0) -> GatewayFixture:
+def make_gateway(
+    network: Network, name: str, *, cores: float = 1.0, data_centre: str = ""
+) -> GatewayFixture:
     clock = LoopClock()
     admission_fixture = make_admission_fixture(name=name, clock=clock)
     membership = Membership(
@@ -102,6 +108,7 @@
         seeds=(),
         cores=cores,
         datagram_port=1,
+        data_centre=data_centre,
     )
     protocol = CoordinationProtocol(membership=membership, clock=clock)
     survey = FakeCacheSurvey(
@@ -122,6 +129,7 @@
         clock=clock,
         draining=lambda: bool(draining),
         survey=survey,
+        report_interval_s=placement_client.report_interval_s,
     )
     protocol.set_handlers(coordinator=coordinator, placement_client=placement_client)
     protocol.connection_made(cast("Any", FakeTransport(network=network, host=name)))
@@ -131,15 +139,23 @@
     )
 
 
-def make_gateways(network: Network, count: int) -> list[GatewayFixture]:
-    """Return gateways g0, g1, ... that know each other.
+def make_gateways(
+    network: Network, count: int, *, data_centres: Sequence[str] = ("",)
+) -> list[GatewayFixture]:
+    """Return gateways g0, g1, ... that know each other, spread over data centres.
 
     Each has one core less than the one before, so they coordinate in this order of
     preference.
     """
     now_s = asyncio.get_running_loop().time()
     gateways = [
-        make_gateway(network, f"g{n}", cores=float(count - n)) for n in range(count)
+        make_gateway(
+            network,
+            f"g{n}",
+            cores=float(count - n),
+            data_centre=data_centres[n % len(data_centres)],
+        )
+        for n in range(count)
     ]
     for gateway in gateways:
         gateway.membership.increment_heartbeat()
@@ -149,3 +165,14 @@
         for other in gateways:
             gateway.membership.merge(other.membership.snapshot(), now_s)
     return gateways
+
+
+def put_engines(gateway: GatewayFixture, counts: dict[str, int]) -> None:
+    """Replace a gateway's engines by so many in each data centre."""
+    fixture = gateway.admission_fixture
+    for name in list(fixture.endpoint_registry.loads):
+        fixture.endpoint_registry.remove(name)
+    for data_centre, count in counts.items():
+        for number in range(count):
+            name = f"{data_centre}{number}"
+            fixture.endpoint_registry.put(make_record(name, data_centre=data_centre))
--- a/tests/unit/gateway/coordination/test_many_gateways_share_engines.py
+++ b/tests/unit/gateway/coordination/test_many_gateways_share_engines.py
@@ -11,6 +11,7 @@
 from collections import Counter
 
 from shallotroad.platform.headers import PromptPart
+from shallotroad.policy.cells import Cell
 from tests.coordination_builders import Network
 from tests.coordination_builders import make_gateways
 from tests.gateway_builders import make_gateway_job
@@ -32,7 +33,7 @@
     placed = await asyncio.gather(*placements)
     engines = Counter(placement.load.record.identifier for placement in placed)
     reserved = gateways[0].admission_fixture.endpoint_registry.reserved_endpoints(
-        "chat"
+        Cell("chat")
     )
     assert max(engines.values()) <= len(gateways) / len(reserved) + 2
 
--- a/tests/unit/gateway/test_burst_of_long_prompts.py
+++ b/tests/unit/gateway/test_burst_of_long_prompts.py
@@ -16,6 +16,7 @@
 import pytest
 
 from shallotroad.gateway.exceptions import RefusedError
+from shallotroad.policy.cells import Cell
 from tests.gateway_builders import make_admission_fixture
 from tests.gateway_builders import make_gateway_job
 from tests.gateway_builders import make_long_prompt_job
@@ -65,7 +66,7 @@
 
 async def test_a_late_long_prompt_avoids_a_reserved_engine_with_many_streams() -> None:
     fixture = make_admission_fixture(endpoints=2)
-    (reserved,) = fixture.endpoint_registry.reserved_endpoints("chat")
+    (reserved,) = fixture.endpoint_registry.reserved_endpoints(Cell("chat"))
     (other,) = set(fixture.endpoint_registry.loads) - {reserved}
     load = fixture.endpoint_registry.loads[reserved]
     for _ in range(20):
