Test slow and stalled responses of endpoints

Cause: of the faults told by operators, slow sound streams that are cut and stalled ones that never end had no test on the side of the endpoints.

Looked for: a stream with 1.2 s between events, a stream and a body that send a byte of something incomplete each 0.1 s, with real processes and a stand-in of ours.

--- a/devtools/dependency_standins.py
+++ b/devtools/dependency_standins.py
@@ -20,6 +20,8 @@
     from collections.abc import Callable
 
 HOST = "127.0.0.1"
+STALLED_BODY_BYTES = 100_000
+STALLED_BYTE_INTERVAL_S = 0.1
 EVENT_GAP_S = 0.05
 FILLER = b"x" * 65_536
 # The only service that the configuration describes as engines.
@@ -151,6 +153,9 @@
         Status 500.
     ``torn``
         A stream without a length that ends, without a reset, within its third event.
+    ``stalled``
+        A stream that sends a byte of its third event now and then, without end; for
+        a service without streams, a body that does so.
     ``endless-head``, ``endless-body``, ``endless-chunk-header``, ``endless-event``
         A response whose head, body, chunk framing or event goes on, as fast as it is
         read, until the connection is closed.
@@ -163,6 +168,7 @@
         self.service = service
         self.mode = mode
         self.event_count = 6
+        self.event_gap_s = EVENT_GAP_S
         self.received: list[ReceivedRequest] = []
         self.executed_ids: list[str] = []
         self.cached_prefixes: list[tuple[str, int]] = []
@@ -270,6 +276,9 @@
         if self.mode.startswith("endless-"):
             await self._send_without_end(request, writer, signature_header)
             return False
+        if self.mode == "stalled":
+            await self._send_stalled(request, writer, signature_header)
+            return False
         if self.mode == "torn":
             await self._send_torn_stream(request, writer, signature_header)
             return True
@@ -309,6 +318,30 @@
             self.filler_bytes += len(FILLER)
             await writer.drain()
 
+    async def _send_stalled(
+        self,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+        signature_header: str,
+    ) -> None:
+        """Send two events or nothing, then a byte at a time until the connection ends.
+
+        The bytes never complete an event or a body.
+        """
+        extra = f"{signature_header}Content-Length: {STALLED_BODY_BYTES}\r\n"
+        if self.service == "model":
+            extra = f"{signature_header}Content-Type: text/event-stream\r\n"
+        writer.write(self._response_head(request, "200 OK", extra))
+        if self.service == "model":
+            for number in (1, 2):
+                event = f"id: {number}\ndata: {request.request_id}-{number}\n\n"
+                writer.write(event.encode())
+        while not writer.transport.is_closing():
+            writer.write(b"x")
+            self.filler_bytes += 1
+            await writer.drain()
+            await asyncio.sleep(STALLED_BYTE_INTERVAL_S)
+
     async def _send_torn_stream(
         self,
         request: ReceivedRequest,
@@ -349,11 +382,11 @@
                     f"{len(partial_event):x}\r\n".encode() + partial_event + b"\r\n"
                 )
                 await writer.drain()
-                await asyncio.sleep(EVENT_GAP_S)
+                await asyncio.sleep(self.event_gap_s)
                 return False
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
-            await asyncio.sleep(EVENT_GAP_S)
+            await asyncio.sleep(self.event_gap_s)
             if writer.transport.is_closing():
                 raise ConnectionResetError
         writer.write(b"0\r\n\r\n")
