Look at few cells for a request, however many there are

Cause: found while reading the change: each request looked for usable engines in all cells of a divided service, 40 of them at 3,003 endpoints, before it asked two.

Change: cells are looked at in order until two have a usable engine.

Test: 1,600 engines in 32 cells; 32 cells looked at before, 2 after.";

--- a/src/shallotroad/gateway/coordination/placement_client.py
+++ b/src/shallotroad/gateway/coordination/placement_client.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import math
+from itertools import islice
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -183,12 +184,13 @@
         ]
         now_s = self._clock()
         ranked.sort(key=lambda cell: self._full_until_s.get(cell, 0.0) > now_s)
-        usable = [
-            cell
-            for cell in ranked
-            if self._endpoint_registry.usable_loads(self._placement_request(job, cell))
-        ]
-        return usable[:MAX_CELLS_TRIED] or ranked[:1]
+        # Only as many cells are looked at as are needed, however many there are.
+        usable = (cell for cell in ranked if self._has_usable_engine(job, cell))
+        return list(islice(usable, MAX_CELLS_TRIED)) or ranked[:1]
+
+    def _has_usable_engine(self, job: Job, cell: Cell) -> bool:
+        request = self._placement_request(job, cell)
+        return bool(self._endpoint_registry.usable_loads(request))
 
     async def _place_on_engine(self, job: Job) -> Placement:
         """Ask the cells of the service in turn for a placement.
--- a/src/shallotroad/policy/endpoint_load.py
+++ b/src/shallotroad/policy/endpoint_load.py
@@ -17,7 +17,8 @@
 its prefill share of its time; first events do not clear it, and only the placement of
 gap-tolerant requests depends on it. The prefill share follows the answers that the
 service's gap-tolerant requests expect: the longer they are for the time that their
-callers have, the more of an engine's time is left for decode.
+callers have, the more of an engine's time is left for decode, and more still while the
+engine's streams lag behind (``decode_pace.py``).
 """
 
 from __future__ import annotations
--- a/tests/unit/gateway/coordination/test_more_engines_than_a_cell.py
+++ b/tests/unit/gateway/coordination/test_more_engines_than_a_cell.py
@@ -26,7 +26,9 @@
 
 if TYPE_CHECKING:
     from shallotroad.gateway.job import Job
+    from shallotroad.policy.endpoint_load import EndpointLoad
     from shallotroad.policy.placement import Placement
+    from shallotroad.policy.placement_request import PlacementRequest
 
 ENGINES = {"a": 120, "b": 60}
 
@@ -144,3 +146,24 @@
         gateway.admission_fixture.catalog.closed_data_centres.add("b")
     placement = await place(gateways[1], "t", "o")
     assert placement.load.record.data_centre == "a"
+
+
+async def test_a_request_looks_at_few_cells_however_many_there_are() -> None:
+    gateways = make_gateways(Network(), 2, data_centres=("a", "b"))
+    for gateway in gateways:
+        put_engines(gateway, {"a": 800, "b": 800})
+    registry = gateways[0].admission_fixture.endpoint_registry
+    assert len(registry.cells("chat").names) == 32
+    looked_at: set[str] = set()
+    usable_loads = registry.usable_loads
+
+    def record(request: PlacementRequest) -> list[EndpointLoad]:
+        looked_at.add(request.cell_name)
+        return usable_loads(request)
+
+    registry.usable_loads = record  # type: ignore[method-assign]
+    for number in range(10):
+        looked_at.clear()
+        placement = await place(gateways[0], f"t{number}", f"o{number}")
+        start(gateways[0], placement)
+        assert len(looked_at) == 2
