Log and count requests whose connection ended without a response

A request that was dropped before its handler was called left no log line, and one that was aborted looked like one whose caller had gone, so the hypotheses on requests without an answer could not be told apart.

When a connection ends, the requests that it leaves without a response are now counted with the reason of its end: closed after a response, aborted, the server stopped, the caller closed.

--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -265,6 +265,7 @@
     caller_server = HttpServer(
         handler=components.frontend.handle,
         timeouts=components.frontend.caller_timeouts,
+        on_unanswered=components.frontend.record_unanswered,
     )
     listeners = [
         (caller_server, caller_listener),
--- a/src/shallotroad/gateway/http_frontend.py
+++ b/src/shallotroad/gateway/http_frontend.py
@@ -133,6 +133,11 @@
             idle_s=limits.idle_timeout_ms / 1000 + CALLER_TIMEOUT_SLACK_S,
         )
 
+    def record_unanswered(self, count: int, reason: str) -> None:
+        """Count and log requests whose connection ended without a response to them."""
+        self._metrics.unanswered.add({"reason": reason}, count)
+        log_event("requests left unanswered", n=count, why=reason)
+
     async def handle(self, request: ServerRequest) -> Response | None:
         """Serve one request of a caller; return None if its response was streamed."""
         arrival_s = self._clock()
--- a/src/shallotroad/gateway/metrics.py
+++ b/src/shallotroad/gateway/metrics.py
@@ -46,6 +46,8 @@
         created), and ``outcome``: "answered" (a complete stream), "status N" (any other
         response of an endpoint), "rejected N", "refused", "unknown", "broken" (stream),
         "left" (the caller disconnected) or "error" (unexpected exception).
+    unanswered : Counter
+        Requests whose connection ended without a response to them, by ``reason``.
     attempts : Counter
         Attempts by ``end``: "answered", "not run" or "unknown".
     first_event_s : Histogram
@@ -67,6 +69,11 @@
             "Requests by kind and outcome",
             registry=self.registry,
         )
+        self.unanswered = Counter(
+            "shallotroad_unanswered_requests_total",
+            "Requests whose connection ended without a response to them",
+            registry=self.registry,
+        )
         self.attempts = Counter(
             "shallotroad_attempts_total",
             "Attempts at endpoints by end",
--- a/src/shallotroad/http_server/connection.py
+++ b/src/shallotroad/http_server/connection.py
@@ -221,6 +221,7 @@
         self._reading_paused = False
         self._discards_input = False
         self._in_message = False
+        self._end_reason = "the caller closed the connection"
         self.response_started = False
         self.closes_after_response = False
 
@@ -236,6 +237,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request that is being served: its caller has left."""
         self._transport = None
+        if self.unanswered_requests:
+            self._server.on_unanswered(self.unanswered_requests, self._end_reason)
         self._server.connections.discard(self)
         self._cancel_timer()
         self._writable.set()
@@ -336,6 +339,15 @@
         """Whether no request is being served, waits or has begun to arrive."""
         return self._current is None and not self._requests and not self._in_message
 
+    @property
+    def unanswered_requests(self) -> int:
+        """Number of requests, with complete heads, that have no response yet.
+
+        A response that has begun counts as one, also if it is then broken off.
+        """
+        serving = self._current is not None and not self.response_started
+        return len(self._requests) + int(serving)
+
     def close_when_idle(self) -> None:
         """Close the connection now if it is idle, else after the next response."""
         if self.idle:
@@ -343,14 +355,22 @@
         else:
             self.closes_after_response = True
 
-    def close(self) -> None:
-        """Close the connection once the written bytes are sent."""
+    def close(self, reason: str = "closed after a response") -> None:
+        """Close the connection once the written bytes are sent.
+
+        ``reason`` is reported with requests that are left without a response.
+        """
         if self._transport is not None:
+            self._end_reason = reason
             self._transport.close()
 
-    def abort(self) -> None:
-        """Close the connection at once, so that no response looks complete."""
+    def abort(self, reason: str = "aborted") -> None:
+        """Close the connection at once, so that no response looks complete.
+
+        ``reason`` is reported with requests that are left without a response.
+        """
         if self._transport is not None:
+            self._end_reason = reason
             self._transport.abort()
 
     def resume_reading(self) -> None:
@@ -495,6 +515,7 @@
             or not request.body_complete
         )
         self.closes_after_response = closes
+        self.response_started = True
         await self.write(
             encode_response(response, closes=closes, head_only=request.method == "HEAD")
         )
--- a/src/shallotroad/http_server/server.py
+++ b/src/shallotroad/http_server/server.py
@@ -48,6 +48,9 @@
         through a ``ResponseStream``. It is cancelled when the caller disconnects.
     timeouts : callable
         Returns the timeouts in force.
+    on_unanswered : callable
+        Called with the number of requests that a connection left without a response
+        when it ended, and with the reason of its end.
 
     Attributes
     ----------
@@ -60,9 +63,11 @@
         *,
         handler: Handler,
         timeouts: Callable[[], Timeouts] = lambda: DEFAULT_TIMEOUTS,
+        on_unanswered: Callable[[int, str], None] = lambda count, reason: None,
     ) -> None:
         self.handler = handler
         self.timeouts = timeouts
+        self.on_unanswered = on_unanswered
         self.connections: set[ServerConnection] = set()
         self._listener: asyncio.Server | None = None
 
@@ -93,4 +98,4 @@
         while self.connections and loop.time() < deadline_s:
             await asyncio.sleep(min(0.01, timeout_s))
         for connection in list(self.connections):
-            connection.abort()
+            connection.abort("the server stopped")
