Answer every request that was read before a connection is closed

Callers that send several requests at once on a connection got no response to those behind the one that closed it: at a stop, for each response in the linger period, before bytes that are no request and before an upgrade. They had been read whole, never reached an endpoint, and left no log line.

Cause: the connection ended after any response that closes it, whatever waited behind it; 'closes' was a property of the response that happened to be next and not of the last one. Class: a state of the connection (it is to be closed) decided by one item of a queue.

The close is now announced with the response to the last request that has arrived, or begun to. While the close is pending, reading pauses behind each request that is read, so that the queue ends. Bytes that are no request get their 400 after the responses before them. Half a head behind a request has the timeout of a head (it had none). With unread bytes, the connection is closed a little later, since a reset could destroy the response.

Ruled out: the handlers (the log has no line of them), the balancer (one connection).

--- a/src/shallotroad/http_server/connection.py
+++ b/src/shallotroad/http_server/connection.py
@@ -28,6 +28,8 @@
 
 # Reading from the caller pauses while more bytes than this wait to be read.
 MAX_BUFFERED_BYTES = 262_144
+# Reading also pauses while more requests than this wait behind the one that is served.
+MAX_WAITING_REQUESTS = 1
 # A head, or chunk framing without body bytes, that is longer ends the connection.
 MAX_UNPARSED_BYTES = 131_072
 # After an early response, the rest of a body is read and dropped for this long. Closing
@@ -137,17 +139,18 @@
         self._pending_head = b""
 
     def start(self, status: int, headers: HeaderPairs, *, closes: bool) -> None:
-        """Set the head of the response; it is sent with the first part or the end."""
+        """Set the head of the response; it is sent with the first part or the end.
+
+        ``closes`` is that of ``Response``.
+        """
         connection = self._request.connection
         connection.response_started = True
-        closes = closes or not self._request.keeps_alive
         framing: tuple[bytes, ...] = ()
         if self._request.chunked_allowed:
             framing = (b"Transfer-Encoding: chunked",)
-        else:
-            closes = True
-        if closes:
-            connection.closes_after_response = True
+        if connection.choose_last_response(
+            self._request, closes=closes, framed=self._request.chunked_allowed
+        ):
             framing = (*framing, b"Connection: close")
         self._pending_head = encode_head(status, headers, framing)
 
@@ -198,8 +201,9 @@
     ----------
     response_started : bool
         Whether a part of the current response was written.
-    closes_after_response : bool
-        Whether the connection is closed after the current response.
+    closes_when_served : bool
+        Whether the connection is closed once all requests are served that have
+        arrived, or begun to arrive.
     """
 
     def __init__(self, *, server: HttpServer) -> None:
@@ -222,8 +226,12 @@
         self._discards_input = False
         self._in_message = False
         self._end_reason = "the caller closed the connection"
+        # Status of the response to bytes that are no request, which has to wait for
+        # the responses to the requests before them.
+        self._pending_rejection: int | None = None
+        self._is_last_response = False
         self.response_started = False
-        self.closes_after_response = False
+        self.closes_when_served = False
 
     # Transport callbacks
 
@@ -276,7 +284,9 @@
             self._reject(431)
             return
         buffered_bytes = self._receiving.buffered_bytes if self._receiving else 0
-        if len(self._requests) > 1 or buffered_bytes > MAX_BUFFERED_BYTES:
+        # Each request that is read has to be served before the connection is closed.
+        max_waiting = 0 if self.closes_when_served else MAX_WAITING_REQUESTS
+        if len(self._requests) > max_waiting or buffered_bytes > MAX_BUFFERED_BYTES:
             self._pause_reading()
 
     # Parser callbacks
@@ -337,7 +347,12 @@
     @property
     def idle(self) -> bool:
         """Whether no request is being served, waits or has begun to arrive."""
-        return self._current is None and not self._requests and not self._in_message
+        return (
+            self._current is None
+            and not self._requests
+            and not self._in_message
+            and self._pending_rejection is None
+        )
 
     @property
     def unanswered_requests(self) -> int:
@@ -349,11 +364,37 @@
         return len(self._requests) + int(serving)
 
     def close_when_idle(self) -> None:
-        """Close the connection now if it is idle, else after the next response."""
+        """Close the connection now if it is idle, else once it has no request left."""
         if self.idle:
             self.close()
         else:
-            self.closes_after_response = True
+            self.closes_when_served = True
+
+    def choose_last_response(
+        self, request: ServerRequest, *, closes: bool, framed: bool = True
+    ) -> bool:
+        """Return whether the response to a request is the last of the connection.
+
+        It is when ``closes`` is set, or the close was asked for before, and no other
+        request has arrived or begun to. What arrives later is dropped: the response
+        tells the caller that the connection is closed. A response that is not
+        ``framed``, so that only the close shows its end, is always the last.
+        """
+        self.closes_when_served = self.closes_when_served or closes
+        others = (
+            self._requests
+            or (self._in_message and self._receiving is not request)
+            or self._pending_rejection is not None
+        )
+        self._is_last_response = (
+            not request.keeps_alive
+            or not request.body_complete
+            or not framed
+            or (self.closes_when_served and not others)
+        )
+        if self._is_last_response and request.body_complete:
+            self._discards_input = True
+        return self._is_last_response
 
     def close(self, reason: str = "closed after a response") -> None:
         """Close the connection once the written bytes are sent.
@@ -404,31 +445,45 @@
     def _stop_reading_requests(self) -> None:
         """Drop all further input, and close the connection after the responses."""
         self._discards_input = True
-        self.closes_after_response = True
+        self.closes_when_served = True
 
     def _reject(self, status: int) -> None:
         """Refuse bytes that are not a request, and close the connection.
 
-        If an earlier request is still being served, its response has to come first, so
-        the connection is then only closed after it. A body that has become invalid ends
-        as incomplete.
+        The responses to earlier requests come first. If the body of the request that is
+        being served has become invalid, no response can be matched to it.
         """
         self._stop_reading_requests()
-        if self._receiving is not None:
-            # The request can't be completed, and no response can be matched to it.
-            self._receiving = None
-            self.abort()
-        elif self._current is None and not self._requests:
-            response = Response(status, closes=True)
-            self.write_now(encode_response(response, closes=True, head_only=False))
-            self._close_lingering()
+        self._in_message = False
+        rejected, self._receiving = self._receiving, None
+        if rejected is not None and rejected is self._current:
+            self.abort("the body is not valid")
+            return
+        if rejected is not None:
+            self._requests.remove(rejected)
+        self._pending_rejection = status
+        if self._current is None and not self._requests:
+            self._send_rejection()
+
+    def _send_rejection(self) -> None:
+        """Send the response to bytes that are no request, and close the connection."""
+        if self._pending_rejection is None:
+            return
+        response = Response(self._pending_rejection, closes=True)
+        self._pending_rejection = None
+        self.write_now(encode_response(response, closes=True, head_only=False))
+        self._close_lingering(reads=True)
+
+    def _close_lingering(self, *, reads: bool) -> None:
+        """Close the sending side, and the connection a little later.
 
-    def _close_lingering(self) -> None:
-        """Close the sending side, and the connection a little later."""
+        With ``reads``, what the caller still sends is read and dropped meanwhile.
+        """
         self._discards_input = True
         if self._transport is None:
             return
-        self.resume_reading()
+        if reads:
+            self.resume_reading()
         self._transport.write_eof()
         self._loop.call_later(LINGER_S, self.abort)
 
@@ -463,6 +518,7 @@
                 if not self._requests:
                     self._request_arrived.clear()
                     if self._discards_input:
+                        self._send_rejection()
                         return
                     self.resume_reading()
                     await self._request_arrived.wait()
@@ -471,31 +527,30 @@
                 self._current = request
                 await self._serve(request)
                 self._current = None
-                if self._must_close(request):
+                if self._is_last_response or (self.closes_when_served and self.idle):
                     self._end(request)
                     return
                 if self.idle:
                     self._set_timer(self._server.timeouts().idle_s)
+                elif not self._requests:
+                    self._set_timer(self._server.timeouts().head_s)
         except ConnectionError:
             self.abort()
 
-    def _must_close(self, request: ServerRequest) -> bool:
-        return (
-            self.closes_after_response
-            or not request.keeps_alive
-            or not request.body_complete
-        )
-
     def _end(self, request: ServerRequest) -> None:
-        """Close the connection after its last response."""
-        if request.body_complete:
+        """Close the connection after its last response.
+
+        Unread bytes would reset the connection at once, so it is then closed later.
+        """
+        if request.body_complete and not self._reading_paused:
             self.close()
         else:
-            self._close_lingering()
+            self._close_lingering(reads=not request.body_complete)
 
     async def _serve(self, request: ServerRequest) -> None:
         """Call the handler and send the response that it returns, if any."""
         self.response_started = False
+        self._is_last_response = False
         try:
             response = await self._server.handler(request)
         except ConnectionError:
@@ -508,14 +563,10 @@
             response = Response(500, closes=True)
         if response is None:
             return
-        closes = (
-            response.closes
-            or self.closes_after_response
-            or not request.keeps_alive
-            or not request.body_complete
-        )
-        self.closes_after_response = closes
+        is_last = self.choose_last_response(request, closes=response.closes)
         self.response_started = True
         await self.write(
-            encode_response(response, closes=closes, head_only=request.method == "HEAD")
+            encode_response(
+                response, closes=is_last, head_only=request.method == "HEAD"
+            )
         )
