Answer unfinished requests at the end of the grace period

Callers whose requests waited for an endpoint, or ran, when the grace period of a stopping gateway ended got no response: the connection was aborted, and the log said that the caller had left.

Cause: the drain counted only requests whose handler had been called, and the end of the period closed connections without regard to what they carried. Class: a time-out that ends a carrier instead of the work on it.

At the end of the period the handlers are cancelled with a reason and give a last response: 503 with Retry-After if the request was not sent to an endpoint, 502 if it may have run; a stream that has begun is broken off. Requests that wait on a connection get the same. The drain counts all requests that were read, and requests that arrive during the last steps have a quarter of a second for their response, on a busy instance too.

Ruled out: the endpoints (they were still at work, as the mute stand-in shows).

--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -327,12 +327,13 @@
     """Finish the open requests within the grace period.
 
     New connections are accepted for ``BALANCER_LINGER_S``; then requests are refused
-    and idle connections closed.
+    and idle connections closed. What is unfinished at the end of the period gets a
+    last response: refused if it has not run, else unknown.
     """
     frontend = components.frontend
     frontend.draining = True
     components.membership.leave()
-    log_event("stopping", open_requests=frontend.open_requests)
+    log_event("stopping", open_requests=server.open_requests)
     started_s = time.monotonic()
     deadline_s = started_s + components.settings.bounds.grace_s - EXIT_RESERVE_S
     while time.monotonic() < deadline_s:
@@ -340,6 +341,8 @@
         if linger_elapsed and not frontend.refusing:
             frontend.refusing = True
             server.close_idle_connections()
-        if linger_elapsed and frontend.open_requests == 0:
+        if linger_elapsed and server.open_requests == 0:
             return
         await asyncio.sleep(0.05)
+    log_event("grace period ended", open_requests=server.open_requests)
+    server.interrupt_requests("the grace period ended")
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -364,6 +364,7 @@
             clock=self._clock,
         )
         connection: EndpointConnection | None = None
+        may_have_run = False
         try:
             if pool is None:
                 raise NotRunError("endpoint is no longer registered", sent=False)
@@ -382,6 +383,7 @@
             except ConnectError as error:
                 raise NotRunError(str(error), sent=False) from error
             progress.sent_s = self._clock()
+            may_have_run = True
             async with asyncio.timeout(
                 self._attempt_timeout_s(job, placement)
             ) as timeout:
@@ -406,6 +408,9 @@
         except NotRunError:
             progress.failure = NOT_RUN_FAILURE_WEIGHT
             raise
+        except asyncio.CancelledError:
+            job.possible_runs += int(may_have_run)
+            raise
         finally:
             if connection is not None:
                 if connection.usable and progress.ended:
--- a/src/shallotroad/gateway/http_frontend.py
+++ b/src/shallotroad/gateway/http_frontend.py
@@ -158,8 +158,13 @@
         outcome = "left"
         reason = ""
         try:
-            job = await self._create_job(request, decoded, arrival_s)
-            response = await self._forwarder.run(job, stream)
+            try:
+                job = await self._create_job(request, decoded, arrival_s)
+                response = await self._forwarder.run(job, stream)
+            except asyncio.CancelledError:
+                if not request.interruption:
+                    raise
+                raise self._interruption_error(request, job, stream) from None
             outcome = "answered"
             if response is None:
                 await stream.finish()
@@ -193,6 +198,16 @@
         finally:
             self._log_finished(decoded, job, stream, outcome, reason, arrival_s)
 
+    def _interruption_error(
+        self, request: ServerRequest, job: Job | None, stream: CallerStream
+    ) -> RefusedError | OutcomeUnknownError | BrokenStreamError:
+        """Return the error that tells the caller what is known of its request."""
+        if stream.started_s:
+            return BrokenStreamError(request.interruption)
+        if job is not None and job.possible_runs:
+            return OutcomeUnknownError(request.interruption, status=502)
+        return RefusedError(request.interruption, retry_after_s=0.0)
+
     def _log_finished(
         self,
         decoded: CallerRequest,
@@ -256,7 +271,8 @@
         Raises
         ------
         RefusedError
-            When the process refuses new requests or has no configuration.
+            When the process refuses new requests or has no configuration, or only a
+            last response is wanted.
         RejectedError
             When the headers (431) or the body (413) are too large, the body takes too
             long (408), no route matches (404), the API key is not known (401), or there
@@ -264,6 +280,8 @@
         ConnectionResetError
             When the body is incomplete or the caller has closed the connection.
         """
+        if request.interruption:
+            raise RefusedError(request.interruption, retry_after_s=0.0)
         configuration = await self._wait_for_configuration()
         if self.refusing:
             raise RefusedError("the process is stopping", retry_after_s=0.0)
--- a/src/shallotroad/http_server/connection.py
+++ b/src/shallotroad/http_server/connection.py
@@ -47,6 +47,9 @@
         Method, and path with query, as sent.
     headers : tuple of pairs of bytes
         Headers in their order, as sent.
+    interruption : str
+        Why the handler is cancelled, or called at all, only to give a last response;
+        empty otherwise. The caller can still receive that response.
     """
 
     def __init__(
@@ -66,6 +69,7 @@
         self.keeps_alive = keeps_alive
         self.chunked_allowed = chunked_allowed
         self.body_complete = False
+        self.interruption = ""
         self._chunks: deque[bytes] = deque()
         self._buffered_bytes = 0
         self._arrived = asyncio.Event()
@@ -225,6 +229,7 @@
         self._reading_paused = False
         self._discards_input = False
         self._in_message = False
+        self._handler_runs = False
         self._end_reason = "the caller closed the connection"
         # Status of the response to bytes that are no request, which has to wait for
         # the responses to the requests before them.
@@ -354,6 +359,11 @@
             and self._pending_rejection is None
         )
 
+    @property
+    def open_requests(self) -> int:
+        """Number of requests, with complete heads, whose response is not complete."""
+        return len(self._requests) + int(self._current is not None)
+
     @property
     def unanswered_requests(self) -> int:
         """Number of requests, with complete heads, that have no response yet.
@@ -396,6 +406,23 @@
             self._discards_input = True
         return self._is_last_response
 
+    def interrupt(self, reason: str) -> None:
+        """Cancel the handler so that it gives its last response, and read no more.
+
+        The requests that wait have ``interruption`` set before their handler is called.
+        """
+        self._stop_reading_requests()
+        self._in_message = False
+        self._receiving = None
+        for request in self._requests:
+            request.interruption = reason
+        current = self._current
+        if current is None or current.interruption or not self._handler_runs:
+            return
+        current.interruption = reason
+        if self._task is not None:
+            self._task.cancel()
+
     def close(self, reason: str = "closed after a response") -> None:
         """Close the connection once the written bytes are sent.
 
@@ -463,11 +490,12 @@
             self._requests.remove(rejected)
         self._pending_rejection = status
         if self._current is None and not self._requests:
-            self._send_rejection()
+            self._end_without_request()
 
-    def _send_rejection(self) -> None:
-        """Send the response to bytes that are no request, and close the connection."""
+    def _end_without_request(self) -> None:
+        """Close the connection, after the response to bytes that are no request."""
         if self._pending_rejection is None:
+            self.close()
             return
         response = Response(self._pending_rejection, closes=True)
         self._pending_rejection = None
@@ -518,7 +546,7 @@
                 if not self._requests:
                     self._request_arrived.clear()
                     if self._discards_input:
-                        self._send_rejection()
+                        self._end_without_request()
                         return
                     self.resume_reading()
                     await self._request_arrived.wait()
@@ -551,16 +579,28 @@
         """Call the handler and send the response that it returns, if any."""
         self.response_started = False
         self._is_last_response = False
+        self._handler_runs = True
         try:
             response = await self._server.handler(request)
         except ConnectionError:
             raise
+        except asyncio.CancelledError:
+            if not request.interruption:
+                raise
+            if self.response_started:
+                self.abort(request.interruption)
+                return
+            response = Response(503, closes=True)
         except Exception:
             logger.exception("request handler failed")
             if self.response_started:
                 self.abort()
                 return
             response = Response(500, closes=True)
+        finally:
+            self._handler_runs = False
+        if request.interruption and self._task is not None:
+            self._task.uncancel()
         if response is None:
             return
         is_last = self.choose_last_response(request, closes=response.closes)
--- a/src/shallotroad/http_server/server.py
+++ b/src/shallotroad/http_server/server.py
@@ -35,6 +35,8 @@
     idle_s: float
 
 
+# Requests that arrive while the server stops are answered within this time.
+LAST_RESPONSES_TIMEOUT_S = 0.25
 DEFAULT_TIMEOUTS = Timeouts(head_s=10.0, idle_s=75.0)
 
 
@@ -45,7 +47,8 @@
     ----------
     handler : callable
         Serves one request. It returns the response, or None when it has sent one
-        through a ``ResponseStream``. It is cancelled when the caller disconnects.
+        through a ``ResponseStream``. It is cancelled when the caller disconnects, and
+        when ``ServerRequest.interruption`` asks it for a last response.
     timeouts : callable
         Returns the timeouts in force.
     on_unanswered : callable
@@ -83,6 +86,16 @@
         for connection in list(self.connections):
             connection.close_when_idle()
 
+    @property
+    def open_requests(self) -> int:
+        """Number of requests whose response is not complete, waiting ones included."""
+        return sum(connection.open_requests for connection in self.connections)
+
+    def interrupt_requests(self, reason: str) -> None:
+        """Let all handlers give a last response now; see ``ServerRequest``."""
+        for connection in list(self.connections):
+            connection.interrupt(reason)
+
     def stop_listening(self) -> None:
         """Accept no further connections."""
         if self._listener is not None:
@@ -90,12 +103,19 @@
             self._listener = None
 
     async def stop(self, timeout_s: float) -> None:
-        """Close all connections, those still in use after ``timeout_s``."""
+        """Close all connections, those still in use after ``timeout_s``.
+
+        Those with open requests have ``LAST_RESPONSES_TIMEOUT_S`` at least.
+        """
         self.stop_listening()
         self.close_idle_connections()
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + timeout_s
-        while self.connections and loop.time() < deadline_s:
-            await asyncio.sleep(min(0.01, timeout_s))
+        last_responses_s = max(deadline_s, loop.time() + LAST_RESPONSES_TIMEOUT_S)
+        while self.connections:
+            limit_s = last_responses_s if self.open_requests else deadline_s
+            if loop.time() >= limit_s:
+                break
+            await asyncio.sleep(0.01)
         for connection in list(self.connections):
             connection.abort("the server stopped")
--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -8,6 +8,7 @@
 
 import pytest
 from devtools.dependency_standins import HOST
+from devtools.dependency_standins import RouteSpec
 from devtools.dependency_standins import wait_until
 from devtools.gateway_harness import HEADERS
 from devtools.gateway_harness import GatewayHarness
@@ -18,6 +19,8 @@
     from pathlib import Path
 
 ANSWER_TIMEOUT_S = 12.0
+LONG_TIMEOUT_MS = 20_000
+SLOTS = 8  # Slots of a stand-in, all of which requests in flight take.
 
 
 @pytest.fixture
@@ -29,11 +32,11 @@
     await gateway_harness.close()
 
 
-def encode_post(path: str, request_id: str) -> bytes:
+def encode_post(path: str, request_id: str, deadline_ms: int = 3000) -> bytes:
     fields = {
         **HEADERS,
         "X-Request-Id": request_id,
-        "X-Deadline-Ms": "3000",
+        "X-Deadline-Ms": str(deadline_ms),
         "Content-Length": "0",
     }
     head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
@@ -68,3 +71,26 @@
     assert received.count(b"Connection: close") == 1
     assert await asyncio.wait_for(harness.processes["g1"].wait(), 8) == 0
     writer.close()
+
+
+# Guards against requests that the end of the grace period leaves without an answer.
+async def test_unfinished_requests_are_answered_at_the_end_of_the_grace_period(
+    harness: GatewayHarness,
+) -> None:
+    endpoint = await harness.add_endpoint("s1", "shop", "mute")
+    harness.publish(2, [RouteSpec("/book/", "unsafe", "shop", LONG_TIMEOUT_MS, 1)])
+    await harness.start()
+    connections = [await connect(harness) for _ in range(SLOTS + 1)]
+    for number, (_, writer) in enumerate(connections):
+        writer.write(encode_post("/book/1", f"q{number}", LONG_TIMEOUT_MS))
+        await asyncio.sleep(0.05)
+    await wait_until(lambda: len(endpoint.received) == SLOTS)
+    harness.send_signal("g1", signal.SIGTERM)
+    heads = [await read_to_end(reader) for reader, _ in connections]
+    statuses = [head[len(b"HTTP/1.1 ") :][:3] for head in heads]
+    assert statuses == [b"502"] * SLOTS + [b"503"]
+    assert b"Retry-After" in heads[-1]
+    assert len(endpoint.received) == SLOTS
+    assert await asyncio.wait_for(harness.processes["g1"].wait(), 8) == 0
+    for _, writer in connections:
+        writer.close()
