Give callers that stop sending after a request a last response

A caller that shuts down its sending side after a whole request got no response at all, stop or not: the end of input closed the connection and cancelled the request.

Cause: no handler for the end of input, so the transport took it for the end of the connection. Class: the two directions of a connection treated as one.

Weighed: to serve such a request to its end. A caller that closed its connection sends the same packet as one that is half-closed, and work for callers that have left is what the cancellation is there to stop, so the work still ends at once. What changes is that each request that was read whole gets a truthful last response first: 503 if it was not sent to an endpoint, 502 if it may have run. A caller that has left never sees it.

Reading now pauses behind eight waiting requests instead of two, because a pause hides the end of the connection from the request that is being served.

--- a/src/shallotroad/http_server/connection.py
+++ b/src/shallotroad/http_server/connection.py
@@ -29,7 +29,8 @@
 # Reading from the caller pauses while more bytes than this wait to be read.
 MAX_BUFFERED_BYTES = 262_144
 # Reading also pauses while more requests than this wait behind the one that is served.
-MAX_WAITING_REQUESTS = 1
+# The end of a connection goes unnoticed meanwhile.
+MAX_WAITING_REQUESTS = 8
 # A head, or chunk framing without body bytes, that is longer ends the connection.
 MAX_UNPARSED_BYTES = 131_072
 # After an early response, the rest of a body is read and dropped for this long. Closing
@@ -260,6 +261,21 @@
         if self._task is not None:
             self._task.cancel()
 
+    def eof_received(self) -> bool:
+        """Give a last response to the requests of a caller that stopped sending.
+
+        A caller that left can't be told from one that only shut down its sending side,
+        so no work goes on for it. Returns whether the connection stays open for that.
+        """
+        if self._receiving is not None and self._receiving is self._current:
+            return False
+        if self._receiving is not None:
+            self._requests.remove(self._receiving)
+        if not self.open_requests:
+            return False
+        self.interrupt("the caller stopped sending")
+        return True
+
     def pause_writing(self) -> None:
         """Hold back writes: the caller reads too slowly."""
         self._writable.clear()
@@ -291,7 +307,8 @@
         buffered_bytes = self._receiving.buffered_bytes if self._receiving else 0
         # Each request that is read has to be served before the connection is closed.
         max_waiting = 0 if self.closes_when_served else MAX_WAITING_REQUESTS
-        if len(self._requests) > max_waiting or buffered_bytes > MAX_BUFFERED_BYTES:
+        waiting = len(self._requests) - int(self._current is None)
+        if waiting > max_waiting or buffered_bytes > MAX_BUFFERED_BYTES:
             self._pause_reading()
 
     # Parser callbacks
--- a/tests/http_server_builders.py
+++ b/tests/http_server_builders.py
@@ -63,10 +63,13 @@
         self.targets.append(request.target)
         try:
             await request.read_body(MAX_BODY_BYTES)
-            await self.release.wait()
+            if not request.interruption:
+                await self.release.wait()
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
+        if request.interruption:
+            return Response(503)
         if request.path == "/stream":
             stream = ResponseStream(request=request)
             stream.start(200, (), closes=self.closes)
--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -94,3 +94,22 @@
     assert await asyncio.wait_for(harness.processes["g1"].wait(), 8) == 0
     for _, writer in connections:
         writer.close()
+
+
+# Guards against a caller without any answer because it stopped sending after a request.
+@pytest.mark.parametrize(("mode", "status"), [("mute", b"502"), ("ok", b"200")])
+async def test_a_caller_that_stops_sending_after_a_request_gets_an_answer(
+    harness: GatewayHarness, mode: str, status: bytes
+) -> None:
+    endpoint = await harness.add_endpoint("s1", "shop", mode)
+    await harness.start()
+    reader, writer = await connect(harness)
+    writer.write(encode_post("/book/1", "q1"))
+    await wait_until(lambda: bool(endpoint.received))
+    if mode == "ok":
+        assert (await reader.readexactly(12))[9:] == status
+    writer.write_eof()
+    if mode == "mute":
+        assert (await reader.readexactly(12))[9:] == status
+    await read_to_end(reader)
+    writer.close()
