Read what has arrived before an idle connection is closed

A request that had arrived at a gateway, but lay unread in the socket when its idle connection was closed at a stop or after the idle timeout, was answered by a reset, which also destroys the end of a response on its way.

Cause: the close was decided on what had been parsed, before the input of the same moment was read; on a busy instance that moment is long. Class: a decision on a stale view of the other side.

An idle connection is now closed 10 ms after the decision, and a request that arrives until then gets a response with 'Connection: close'. One that crosses the close on the network is still reset unread, which tells its caller that it may be sent again.

Before: ConnectionResetError in test_a_request_that_has_arrived_unread_is_answered_... After: 200 with 'Connection: close'. The other tests of the server and gateway pass.

--- a/src/shallotroad/http_server/connection.py
+++ b/src/shallotroad/http_server/connection.py
@@ -36,6 +36,8 @@
 # After an early response, the rest of a body is read and dropped for this long. Closing
 # with unread bytes would reset the connection and could destroy the response.
 LINGER_S = 1.0
+# Before an idle connection is closed, input that has arrived is read for this long.
+IDLE_CLOSE_DELAY_S = 0.01
 HTTP_1_0 = "1.0"
 
 
@@ -391,11 +393,13 @@
         return len(self._requests) + int(serving)
 
     def close_when_idle(self) -> None:
-        """Close the connection now if it is idle, else once it has no request left."""
+        """Close the connection once it has no request left.
+
+        An idle one is closed after ``IDLE_CLOSE_DELAY_S``.
+        """
+        self.closes_when_served = True
         if self.idle:
-            self.close()
-        else:
-            self.closes_when_served = True
+            self._set_timer(IDLE_CLOSE_DELAY_S)
 
     def choose_last_response(
         self, request: ServerRequest, *, closes: bool, framed: bool = True
@@ -483,8 +487,10 @@
         self._timer = None
         if self._in_message:
             self._reject(408)
-        else:
+        elif self.closes_when_served:
             self.close()
+        else:
+            self.close_when_idle()
 
     def _stop_reading_requests(self) -> None:
         """Drop all further input, and close the connection after the responses."""
--- a/tests/unit/http_server/test_unanswered_requests.py
+++ b/tests/unit/http_server/test_unanswered_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 from typing import TYPE_CHECKING
 
@@ -194,3 +195,20 @@
     assert received.count(b"HTTP/1.1") == 1
     service.unanswered.clear()
     writer.close()
+
+
+# Guards against the reset of a request that lies unread in the socket of an idle
+# connection when the server closes it.
+async def test_a_request_that_has_arrived_unread_is_answered_when_the_server_stops(
+    service: Service,
+) -> None:
+    reader, writer = await service.connect()
+    writer.write(encode_get("/1"))
+    await reader.readuntil(b"\r\n\r\n")
+    raw_socket = writer.get_extra_info("socket")
+    os.write(raw_socket.fileno(), encode_get("/2"))
+    service.server.close_idle_connections()
+    received = await read_to_end(reader)
+    assert received.startswith(b"HTTP/1.1 200 OK")
+    assert b"Connection: close" in received
+    writer.close()
