Ignore the end of input behind a request that was answered early

The connection had its response; only the log was wrong.

Cause: the request whose body is incomplete may be waiting, being served, or answered already; the third case was missing, in the end of input and in the rejection of bytes. Both use one function now.

Before: the new test ends with the ValueError. After: passes. The fixture now fails any test of the file in which the loop reports an error.

--- a/src/shallotroad/http_server/connection.py
+++ b/src/shallotroad/http_server/connection.py
@@ -271,8 +271,7 @@
         """
         if self._receiving is not None and self._receiving is self._current:
             return False
-        if self._receiving is not None:
-            self._requests.remove(self._receiving)
+        self._drop_incomplete_request()
         if not self.open_requests:
             return False
         self.interrupt("the caller stopped sending")
@@ -505,16 +504,24 @@
         """
         self._stop_reading_requests()
         self._in_message = False
-        rejected, self._receiving = self._receiving, None
+        rejected = self._drop_incomplete_request()
         if rejected is not None and rejected is self._current:
             self.abort("the body is not valid")
             return
-        if rejected is not None:
-            self._requests.remove(rejected)
         self._pending_rejection = status
         if self._current is None and not self._requests:
             self._end_without_request()
 
+    def _drop_incomplete_request(self) -> ServerRequest | None:
+        """Return the request whose body will not be complete; it waits no longer.
+
+        It may be the one that is being served, or have had its response already.
+        """
+        incomplete, self._receiving = self._receiving, None
+        if incomplete is not None and incomplete in self._requests:
+            self._requests.remove(incomplete)
+        return incomplete
+
     def _end_without_request(self) -> None:
         """Close the connection, after the response to bytes that are no request."""
         if self._pending_rejection is None:
--- a/tests/http_server_builders.py
+++ b/tests/http_server_builders.py
@@ -7,6 +7,7 @@
 
 from shallotroad.gateway.listener import open_listener
 from shallotroad.http_server.connection import ResponseStream
+from shallotroad.http_server.exceptions import BodyTooLargeError
 from shallotroad.http_server.message import Response
 from shallotroad.http_server.server import HttpServer
 from shallotroad.http_server.server import Timeouts
@@ -65,6 +66,8 @@
             await request.read_body(MAX_BODY_BYTES)
             if not request.interruption:
                 await self.release.wait()
+        except BodyTooLargeError:
+            return Response(413)
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
--- a/tests/unit/http_server/test_unanswered_requests.py
+++ b/tests/unit/http_server/test_unanswered_requests.py
@@ -6,10 +6,12 @@
 import os
 import random
 from typing import TYPE_CHECKING
+from typing import Any
 
 import pytest
 
 from shallotroad.http_server.connection import MAX_WAITING_REQUESTS
+from tests.http_server_builders import MAX_BODY_BYTES
 from tests.http_server_builders import Service
 from tests.http_server_builders import encode_get
 from tests.http_server_builders import encode_post
@@ -25,9 +27,12 @@
 async def service() -> AsyncIterator[Service]:
     started = Service()
     await started.start()
+    errors: list[dict[str, Any]] = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: errors.append(context))
     yield started
     await started.server.stop(0.0)
-    assert started.unanswered == []
+    assert (started.unanswered, errors) == ([], [])
 
 
 async def read_to_end(reader: asyncio.StreamReader) -> bytes:
@@ -212,3 +217,17 @@
     assert received.startswith(b"HTTP/1.1 200 OK")
     assert b"Connection: close" in received
     writer.close()
+
+
+# Guards against an error at the end of input behind a request that was answered before
+# its body was complete.
+async def test_a_caller_may_stop_sending_after_an_early_response(
+    service: Service,
+) -> None:
+    reader, writer = await service.connect()
+    writer.write(encode_post("/large", b"x" * 2 * MAX_BODY_BYTES)[:-1])
+    head = await reader.readuntil(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 413")
+    writer.write_eof()
+    assert await read_to_end(reader) == b""
+    writer.close()
