Poll the sockets between the end of the delay and an idle close

Under uvloop, which the product uses, timers that are due run before the sockets are polled: after a stall of more than the 10 ms the connection was closed with the request still unread. And line breaks, which begin no request, set the timer of a head at each arrival, so that the connection stayed open at the stop.

The close now comes two callbacks after the timer, with a poll in between on both event loops, and only a message that has begun sets the timer of a head.

Before: test_idle_close_uvloop.py ends with a reset, test_idle_close_line_breaks.py finds the connection open after 1.2 s. After: both pass.

--- a/src/shallotroad/http_server/connection.py
+++ b/src/shallotroad/http_server/connection.py
@@ -289,8 +289,7 @@
         """Parse received bytes; respond with an error to what is not a request."""
         if self._discards_input:
             return
-        if not self._in_message and not self._requests and self._current is None:
-            self._set_timer(self._server.timeouts().head_s)
+        was_idle = self.idle
         self._unparsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -305,6 +304,8 @@
         if self._unparsed_bytes > MAX_UNPARSED_BYTES:
             self._reject(431)
             return
+        if was_idle and self._in_message and not self._requests:
+            self._set_timer(self._server.timeouts().head_s)
         buffered_bytes = self._receiving.buffered_bytes if self._receiving else 0
         # Each request that is read has to be served before the connection is closed.
         max_waiting = 0 if self.closes_when_served else MAX_WAITING_REQUESTS
@@ -487,10 +488,16 @@
         if self._in_message:
             self._reject(408)
         elif self.closes_when_served:
-            self.close()
+            # Timers that are due run before the sockets are read. The second call comes
+            # after that, also if the loop was held up until now.
+            self._loop.call_soon(self._loop.call_soon, self._close_if_idle)
         else:
             self.close_when_idle()
 
+    def _close_if_idle(self) -> None:
+        if self.idle:
+            self.close()
+
     def _stop_reading_requests(self) -> None:
         """Drop all further input, and close the connection after the responses."""
         self._discards_input = True
