Accept the connections that wait before the listener is closed

Cause: the listener was closed although its backlog was not empty, which shows only when the loop is held up, as on an instance with little processor time.

The sockets are polled until no further connection waits, for twenty rounds at most.

--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -302,8 +302,6 @@
     )
     await stop.wait()
     await _drain(components, caller_server)
-    for server, _ in listeners:
-        server.stop_listening()
     await asyncio.gather(*(server.stop(CLOSE_TIMEOUT_S) for server, _ in listeners))
     log_event("stopped")
     for task in background_tasks:
--- a/src/shallotroad/http_server/server.py
+++ b/src/shallotroad/http_server/server.py
@@ -37,6 +37,11 @@
 
 # Requests that arrive while the server stops are answered within this time.
 LAST_RESPONSES_TIMEOUT_S = 0.25
+# Callbacks, one after the other, in which an event loop polls its sockets and sets up a
+# connection that waits.
+ACCEPT_CALLBACKS = 8
+# New connections hold up the stop for at most this many rounds of accepting.
+MAX_ACCEPT_ROUNDS = 20
 DEFAULT_TIMEOUTS = Timeouts(head_s=10.0, idle_s=75.0)
 
 
@@ -96,6 +101,18 @@
         for connection in list(self.connections):
             connection.interrupt(reason)
 
+    async def _accept_pending_connections(self) -> None:
+        """Accept connections that callers have opened, until no more of them wait.
+
+        The kernel resets those that wait when the listener is closed.
+        """
+        for _ in range(MAX_ACCEPT_ROUNDS):
+            count = len(self.connections)
+            for _ in range(ACCEPT_CALLBACKS):
+                await asyncio.sleep(0)
+            if len(self.connections) == count:
+                return
+
     def stop_listening(self) -> None:
         """Accept no further connections."""
         if self._listener is not None:
@@ -107,6 +124,7 @@
 
         Those with open requests have ``LAST_RESPONSES_TIMEOUT_S`` at least.
         """
+        await self._accept_pending_connections()
         self.stop_listening()
         self.close_idle_connections()
         loop = asyncio.get_running_loop()
