Keep a connection open until its last response is delivered

Found in the review: a last response was cut, on a slow line or of some size, when its caller sent another request while it was on its way (1.5 of 3.0 MB arrived, then a reset; the untouched code too), or when requests waited unread behind it (1.2 of 3.0 MB, from the abort after the linger time).

Cause: the connection was closed when the response had been written, although the kernel or the transport still held it; a reset then destroys both. Class: written taken for delivered.

The connection now stays half-closed while undelivered bytes (transport and kernel) become fewer. The drain counts a response that is not sent whole as an open request. A connection whose close was not announced is closed as an idle one, so that a request that follows at once is answered.

--- a/src/shallotroad/http_server/connection.py
+++ b/src/shallotroad/http_server/connection.py
@@ -8,6 +8,9 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
+import sys
+import termios
 from collections import deque
 from typing import TYPE_CHECKING
 from typing import cast
@@ -380,8 +383,28 @@
 
     @property
     def open_requests(self) -> int:
-        """Number of requests, with complete heads, whose response is not complete."""
-        return len(self._requests) + int(self._current is not None)
+        """Number of requests, with complete heads, whose response is not sent whole."""
+        sending = self._current is not None or self._unsent_bytes > 0
+        return len(self._requests) + int(sending)
+
+    @property
+    def _unsent_bytes(self) -> int:
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    @property
+    def _undelivered_bytes(self) -> int:
+        """Bytes of responses that the caller's host has not acknowledged."""
+        if self._transport is None:
+            return 0
+        descriptor = self._transport.get_extra_info("socket").fileno()
+        try:
+            queued = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(4))
+        except OSError as error:
+            logger.bind(why=repr(error)).debug("no size of the send queue")
+            return self._unsent_bytes
+        return self._unsent_bytes + int.from_bytes(queued, sys.byteorder)
 
     @property
     def unanswered_requests(self) -> int:
@@ -542,6 +565,7 @@
     def _close_lingering(self, *, reads: bool) -> None:
         """Close the sending side, and the connection a little later.
 
+        It stays open while the caller receives what is left of the response.
         With ``reads``, what the caller still sends is read and dropped meanwhile.
         """
         self._discards_input = True
@@ -550,7 +574,15 @@
         if reads:
             self.resume_reading()
         self._transport.write_eof()
-        self._loop.call_later(LINGER_S, self.abort)
+        self._loop.call_later(LINGER_S, self._end_lingering, self._undelivered_bytes)
+
+    def _end_lingering(self, previous_bytes: int) -> None:
+        """Abort the connection unless its caller is still receiving a response."""
+        undelivered_bytes = self._undelivered_bytes
+        if 0 < undelivered_bytes < previous_bytes:
+            self._loop.call_later(LINGER_S, self._end_lingering, undelivered_bytes)
+        else:
+            self.abort("the caller reads no more")
 
     # Sending
 
@@ -592,10 +624,12 @@
                 self._current = request
                 await self._serve(request)
                 self._current = None
-                if self._is_last_response or (self.closes_when_served and self.idle):
+                if self._is_last_response:
                     self._end(request)
                     return
-                if self.idle:
+                if self.idle and self.closes_when_served:
+                    self.close_when_idle()
+                elif self.idle:
                     self._set_timer(self._server.timeouts().idle_s)
                 elif not self._requests:
                     self._set_timer(self._server.timeouts().head_s)
@@ -605,12 +639,14 @@
     def _end(self, request: ServerRequest) -> None:
         """Close the connection after its last response.
 
-        Unread bytes would reset the connection at once, so it is then closed later.
+        Bytes that are unread or arrive later would reset a closed connection, with what
+        the caller has not received of the response, so it is closed a little later.
         """
-        if request.body_complete and not self._reading_paused:
-            self.close()
+        reads = not self._reading_paused or not request.body_complete
+        if self._reading_paused or not request.body_complete or self._undelivered_bytes:
+            self._close_lingering(reads=reads)
         else:
-            self._close_lingering(reads=not request.body_complete)
+            self.close()
 
     async def _serve(self, request: ServerRequest) -> None:
         """Call the handler and send the response that it returns, if any."""
