Answer a request whose handler ends by a foreign cancellation

Found in the review; no trigger is known today. A handler that awaits something that others cancel, or an unexpected error in the task of a connection, ended that task: the connection stayed open, without a timer, and its caller waited for ever.

Class: an end of the work that leaves its carrier open. The handler's cancellation is now told from that of the connection: the caller gets a 500, and the log a line. Any error of the task closes the connection. Unanswered requests are reported last, so that an error there can't keep a handler running.

--- a/src/shallotroad/http_server/connection.py
+++ b/src/shallotroad/http_server/connection.py
@@ -254,10 +254,8 @@
         self._task = self._loop.create_task(self._serve_requests())
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the request that is being served: its caller has left."""
+        """Cancel the request that is being served, if any."""
         self._transport = None
-        if self.unanswered_requests:
-            self._server.on_unanswered(self.unanswered_requests, self._end_reason)
         self._server.connections.discard(self)
         self._cancel_timer()
         self._writable.set()
@@ -265,6 +263,8 @@
             self._receiving.wake()
         if self._task is not None:
             self._task.cancel()
+        if self.unanswered_requests:
+            self._server.on_unanswered(self.unanswered_requests, self._end_reason)
 
     def eof_received(self) -> bool:
         """Give a last response to the requests of a caller that stopped sending.
@@ -635,6 +635,9 @@
                     self._set_timer(self._server.timeouts().head_s)
         except ConnectionError:
             self.abort()
+        except Exception:
+            logger.exception("connection failed")
+            self.abort("an unexpected error")
 
     def _end(self, request: ServerRequest) -> None:
         """Close the connection after its last response.
@@ -657,13 +660,16 @@
             response = await self._server.handler(request)
         except ConnectionError:
             raise
-        except asyncio.CancelledError:
-            if not request.interruption:
+        except asyncio.CancelledError as error:
+            ended = self._task is not None and self._task.cancelling()
+            if self._transport is None or (ended and not request.interruption):
                 raise
+            if not request.interruption:
+                logger.bind(why=repr(error)).error("request handler was cancelled")
             if self.response_started:
-                self.abort(request.interruption)
+                self.abort(request.interruption or "the handler was cancelled")
                 return
-            response = Response(503, closes=True)
+            response = Response(503 if request.interruption else 500, closes=True)
         except Exception:
             logger.exception("request handler failed")
             if self.response_started:
