Let a cancelled placement stay cancelled

Found in the review: if the queue refused a request in the moment in which the end of the grace period cancelled it, the refusal took the place of the cancellation, and the request could be placed in the next cell after its last response was due.

Class: an error raised while another is handled hides it. Before: test_cancelled_ placement.py gets the RefusedError. After: the cancellation.

--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -349,7 +349,7 @@
                 "no room in time", retry_after_s=self.retry_after_s(request)
             ) from None
         except asyncio.CancelledError:
-            if future.done() and not future.cancelled():
+            if future.done() and not future.cancelled() and not future.exception():
                 unused_placement = future.result()
                 unused_placement.load.record_end(
                     unused_placement.due_s, started=False, now_s=self._clock()
