Count a request whose caller stopped sending as one whose caller left

The outcome is 'left' again; the reason tells what was known of the request. One test no longer depends on a pause for the order of its requests.

--- a/src/shallotroad/gateway/http_frontend.py
+++ b/src/shallotroad/gateway/http_frontend.py
@@ -17,6 +17,7 @@
 from shallotroad.gateway.exceptions import RefusedError
 from shallotroad.gateway.exceptions import RejectedError
 from shallotroad.gateway.job import Job
+from shallotroad.http_server.connection import CALLER_STOPPED_SENDING
 from shallotroad.http_server.connection import ResponseStream
 from shallotroad.http_server.exceptions import BodyTooLargeError
 from shallotroad.http_server.message import Response
@@ -196,6 +197,8 @@
             logger.exception("request failed")
             raise
         finally:
+            if request.interruption == CALLER_STOPPED_SENDING:
+                outcome = "left"
             self._log_finished(decoded, job, stream, outcome, reason, arrival_s)
 
     def _interruption_error(
--- a/src/shallotroad/gateway/metrics.py
+++ b/src/shallotroad/gateway/metrics.py
@@ -45,7 +45,8 @@
         Finished requests by ``kind``, a value of ``RouteKind`` ("none" if no job was
         created), and ``outcome``: "answered" (a complete stream), "status N" (any other
         response of an endpoint), "rejected N", "refused", "unknown", "broken" (stream),
-        "left" (the caller disconnected) or "error" (unexpected exception).
+        "left" (the caller disconnected or stopped sending) or "error" (unexpected
+        exception).
     unanswered : Counter
         Requests whose connection ended without a response to them, by ``reason``.
     attempts : Counter
--- a/src/shallotroad/http_server/connection.py
+++ b/src/shallotroad/http_server/connection.py
@@ -42,6 +42,8 @@
 # Before an idle connection is closed, input that has arrived is read for this long.
 IDLE_CLOSE_DELAY_S = 0.01
 HTTP_1_0 = "1.0"
+# Interruption for a caller that left, or only shut down its sending side.
+CALLER_STOPPED_SENDING = "the caller stopped sending"
 
 
 class ServerRequest:
@@ -277,7 +279,7 @@
         self._drop_incomplete_request()
         if not self.open_requests:
             return False
-        self.interrupt("the caller stopped sending")
+        self.interrupt(CALLER_STOPPED_SENDING)
         return True
 
     def pause_writing(self) -> None:
--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import signal
+from functools import partial
 from typing import TYPE_CHECKING
 
 import pytest
 from devtools.dependency_standins import HOST
+from devtools.dependency_standins import EndpointStandin
 from devtools.dependency_standins import RouteSpec
 from devtools.dependency_standins import wait_until
 from devtools.gateway_harness import HEADERS
@@ -49,6 +51,10 @@
     return await asyncio.open_connection(HOST, harness.ports["g1"]["front"])
 
 
+def has_received(endpoint: EndpointStandin, count: int) -> bool:
+    return len(endpoint.received) == count
+
+
 async def read_to_end(reader: asyncio.StreamReader) -> bytes:
     async with asyncio.timeout(ANSWER_TIMEOUT_S):
         return await reader.read()
@@ -83,8 +89,8 @@
     connections = [await connect(harness) for _ in range(SLOTS + 1)]
     for number, (_, writer) in enumerate(connections):
         writer.write(encode_post("/book/1", f"q{number}", LONG_TIMEOUT_MS))
-        await asyncio.sleep(0.05)
-    await wait_until(lambda: len(endpoint.received) == SLOTS)
+        in_flight = min(number + 1, SLOTS)
+        await wait_until(partial(has_received, endpoint, in_flight))
     harness.send_signal("g1", signal.SIGTERM)
     heads = [await read_to_end(reader) for reader, _ in connections]
     statuses = [head[len(b"HTTP/1.1 ") :][:3] for head in heads]
@@ -111,5 +117,15 @@
     writer.write_eof()
     if mode == "mute":
         assert (await reader.readexactly(12))[9:] == status
+        await wait_until(
+            lambda: (
+                [
+                    line["outcome"]
+                    for line in harness.read_log()
+                    if line["event"] == "request finished"
+                ]
+                == ["left"]
+            )
+        )
     await read_to_end(reader)
     writer.close()
