Let the soak pipeline, half-close and overlap planned operations

The soak missed requests that got neither an answer nor a refusal: its callers neither pipelined nor shut down their sending side, and a missing answer counted only if the request had run. Planned operations came one by one, without evacuations, releases, storms or shorter timeouts.

Beside the callers there are now six that write to a socket themselves: pipelined requests, half-closed connections, and connections used until they end, with bodies in two parts. Under planned work every whole request must get an answer or a refusal. Not counted is a request that may have crossed the gateway's close: sent less than 0.2 s before the connection ended, and not in one write with a request that was answered. A status 500 that no endpoint has signed is a violation at any time.

A second series of planned operations overlaps the faults.

--- a/devtools/dependency_standins.py
+++ b/devtools/dependency_standins.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
 HOST = "127.0.0.1"
 STALLED_BODY_BYTES = 100_000
@@ -163,10 +164,13 @@
     ``executed_ids`` has one item for each time that a request was run.
     """
 
-    def __init__(self, *, name: str, service: str, mode: str = "ok") -> None:
+    def __init__(
+        self, *, name: str, service: str, mode: str = "ok", zone: str = "a"
+    ) -> None:
         self.name = name
         self.service = service
         self.mode = mode
+        self.zone = zone
         self.event_count = 6
         self.event_gap_s = EVENT_GAP_S
         self.received: list[ReceivedRequest] = []
@@ -197,7 +201,7 @@
         return {
             "service": self.service,
             "address": f"{HOST}:{self.registered_port or self.port}",
-            "zone": "a",
+            "zone": self.zone,
             "version": "v1",
             "slots": 8,
             "state": "ready",
@@ -426,9 +430,15 @@
 
 
 def make_configuration_document(
-    version: int, routes: list[RouteSpec], keys: dict[str, str]
+    version: int,
+    routes: list[RouteSpec],
+    keys: Mapping[str, str],
+    limits: Mapping[str, int] | None = None,
 ) -> dict[str, Any]:
-    """Return a configuration document; ``keys`` maps API keys to teams."""
+    """Return a configuration document; ``keys`` maps API keys to teams.
+
+    ``limits`` replaces or adds limits, by the names of the platform.
+    """
     return {
         "version": version,
         "routes": [
@@ -457,7 +467,11 @@
             }
             for name in sorted({route.service for route in routes})
         ],
-        "limits": {"max-header-bytes": 16384, "max-body-bytes": 65536},
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 65536,
+            **(limits or {}),
+        },
         "tenants": [{"name": team, "api-keys": [key]} for key, team in keys.items()],
     }
 
--- a/devtools/gateway_harness.py
+++ b/devtools/gateway_harness.py
@@ -74,13 +74,19 @@
         return proxy
 
     async def add_endpoint(
-        self, name: str, service: str, mode: str, *, proxied: bool = False
+        self,
+        name: str,
+        service: str,
+        mode: str,
+        *,
+        proxied: bool = False,
+        zone: str = "a",
     ) -> EndpointStandin:
         """Start an endpoint and register it in the store.
 
         With ``proxied``, it registers with the address of a fault proxy.
         """
-        endpoint = EndpointStandin(name=name, service=service, mode=mode)
+        endpoint = EndpointStandin(name=name, service=service, mode=mode, zone=zone)
         await endpoint.start()
         self.endpoints[name] = endpoint
         if proxied:
@@ -89,10 +95,21 @@
         self.store.put(f"servers/{name}", endpoint.registration())
         return endpoint
 
-    def publish(self, version: int, routes: list[RouteSpec] | None = None) -> None:
-        """Publish a configuration of this version, by default with ``ROUTES``."""
+    def publish(
+        self,
+        version: int,
+        routes: list[RouteSpec] | None = None,
+        *,
+        keys: Mapping[str, str] | None = None,
+        limits: Mapping[str, int] | None = None,
+    ) -> None:
+        """Publish a configuration of this version, by default with ``ROUTES``.
+
+        ``keys`` maps API keys to teams and has by default ``KEY`` alone. ``limits``
+        replaces or adds limits.
+        """
         document = make_configuration_document(
-            version, routes or ROUTES, {KEY: "clinic"}
+            version, routes or ROUTES, keys or {KEY: "clinic"}, limits
         )
         self.store.put("op/config", document)
 
@@ -113,6 +130,14 @@
         )
         return path
 
+    def change_settings(self, name: str, *, budget_slack: int) -> None:
+        """Change a bound in the settings file of a gateway, without any signal."""
+        path = self._folder / f"{name}.toml"
+        kept = [line for line in path.read_text().splitlines() if "slack" not in line]
+        new_path = path.with_suffix(".new")
+        new_path.write_text("\n".join([*kept, f"budget-slack = {budget_slack}", ""]))
+        new_path.replace(path)
+
     async def start(
         self, name: str = "g1", seeds: list[int] | None = None, *, wait: bool = True
     ) -> None:
--- a/devtools/soak.py
+++ b/devtools/soak.py
@@ -13,15 +13,21 @@
 import tempfile
 import time
 from pathlib import Path
-from typing import NamedTuple
 
 import aiohttp
 import click
 
 from devtools.dependency_standins import HOST
-from devtools.gateway_harness import HEADERS
 from devtools.gateway_harness import GatewayHarness
+from devtools.soak_callers import EXCHANGES
+from devtools.soak_callers import PATHS
+from devtools.soak_callers import RESPONSE_TIMEOUT_S
+from devtools.soak_callers import Call
+from devtools.soak_callers import request_headers
+from devtools.soak_callers import request_method
+from devtools.soak_callers import run_socket_caller
 from devtools.soak_faults import PLANNED_OPERATIONS
+from devtools.soak_faults import PLANNED_SERIES
 from devtools.soak_faults import UNPLANNED_FAULTS
 from devtools.soak_faults import SoakRun
 from devtools.soak_faults import Violation
@@ -29,50 +35,27 @@
 
 GATEWAYS = ("g1", "g2", "g3")
 ENDPOINTS = {"m1": "model", "m2": "model", "m3": "model", "s1": "shop", "s2": "shop"}
+# Endpoints outside the data centre of the gateways.
+ENDPOINTS_ELSEWHERE = ("m3", "s2")
 RUN_S = 12.0
 # Wait between the readiness of all gateways after the faults and the check that each
 # serves every path.
 RECOVERY_S = 5.0
 CALLER_COUNT = 9
-PATHS = ("/book/1", "/stock/1", "/chat/1", "/notes/1")
+CALLERS_PER_EXCHANGE = 2
 AT_MOST_ONCE_PATHS = ("/book/1", "/chat/1")
 STREAM_PATHS = ("/chat/1", "/notes/1")
 # Events of a stream; the default of ``EndpointStandin.event_count``.
 EVENT_COUNT = 6
-DEADLINE_MS = 3000
-RESPONSE_TIMEOUT_S = DEADLINE_MS / 1000 + 1.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
-class Call(NamedTuple):
-    """One request as its caller saw it; ``status`` is 0 when no response came.
-
-    ``signed`` tells whether the response has the header with an endpoint's signature,
-    whose value is not verified. Times are of the monotonic clock.
-    """
-
-    request_id: str
-    path: str
-    status: int
-    body: bytes
-    complete: bool
-    signed: bool
-    started_s: float
-    ended_s: float
-
-
 async def _send_call(
     session: aiohttp.ClientSession, port: int, path: str, name: str
 ) -> Call:
     """Send one request with the id ``name`` to the gateway at ``port``."""
-    headers = {
-        **HEADERS,
-        "X-Request-Id": name,
-        "X-Deadline-Ms": str(DEADLINE_MS),
-        "X-Token-Usage": "900,50",
-        "X-Prompt-Prefix": f"aa:800,{name}:100",
-    }
-    method = "GET" if path.startswith("/stock/") else "POST"
+    headers = request_headers(name)
+    method = request_method(path)
     started_s = time.monotonic()
     status, body, complete, signed = 0, b"", False, False
     try:
@@ -131,6 +114,20 @@
             await asyncio.sleep(rng.uniform(0.3, 1.5))
 
 
+async def _run_planned_series(run: SoakRun, rng: random.Random, end_s: float) -> None:
+    """Start a longer planned operation every 0.5 s to 2 s until ``end_s``.
+
+    They overlap, and have their own random numbers, so that a seed brings the same
+    faults with and without them.
+    """
+    async with asyncio.TaskGroup() as group:
+        while time.monotonic() < end_s:
+            operation = rng.choice(PLANNED_SERIES)
+            click.echo(f"  {operation.__name__}")
+            group.create_task(operation(run, rng))  # type: ignore[arg-type]
+            await asyncio.sleep(rng.uniform(0.5, 2.0))
+
+
 async def _watch_versions(run: SoakRun) -> None:
     """Record a violation whenever a process returns to an older configuration."""
     highest_versions: dict[tuple[str, int], int] = {}
@@ -156,13 +153,14 @@
     )
 
 
-def _check_call(run: SoakRun, call: Call, runs: int) -> list[Violation]:
+def check_call(run: SoakRun, call: Call, runs: int) -> list[Violation]:
     """Return the violations of the invariants of one request that ran ``runs`` times.
 
-    A response with status 200 is signed and belongs to its request. A request of
+    A response with status 200 is signed and belongs to its request; status 500 comes
+    from an endpoint only. A request of
     ``AT_MOST_ONCE_PATHS`` runs at most once, and not at all when its status is one of
     ``NOT_RUN_STATUSES``. Without an unplanned fault no request that ran is
-    interrupted.
+    interrupted, and every whole request gets an answer or a refusal.
     """
     violations = []
     label = f"{call.request_id} {call.path} status {call.status}"
@@ -175,20 +173,28 @@
             correct = call.path not in STREAM_PATHS or events.startswith(call.body)
         if not correct or not call.signed:
             violations.append(Violation("complete answer to its own request", label))
+    if call.status == 500 and not call.signed:
+        violations.append(Violation("no internal error", label))
     if call.path in AT_MOST_ONCE_PATHS and runs > 1:
         violations.append(Violation("at most once", f"{label} ran {runs} times"))
     if call.path in AT_MOST_ONCE_PATHS and call.status in NOT_RUN_STATUSES and runs:
         violations.append(Violation("reported not run", f"{label} ran {runs} times"))
-    interrupted = not call.complete or call.status in (502, 504)
-    if (
-        interrupted
-        and runs
-        and run.had_no_unplanned_fault(call.started_s, call.ended_s)
-    ):
-        violations.append(Violation("planned operations interrupt nothing", label))
+    if run.had_no_unplanned_fault(call.started_s, call.ended_s):
+        interrupted = not call.complete or call.status in (502, 504)
+        if interrupted and runs:
+            violations.append(Violation("planned operations interrupt nothing", label))
+        if call.unanswered:
+            detail = f"{label} ran {runs} times, {_describe_wait(call)}"
+            violations.append(Violation("every whole request gets an answer", detail))
     return violations
 
 
+def _describe_wait(call: Call) -> str:
+    """Return how a request without an answer was sent and how long it waited."""
+    waited_s = call.ended_s - (call.sent_s or call.ended_s)
+    return f"{waited_s:.3f} s" + (", pipelined" if call.follows_answered else "")
+
+
 async def _check_recovery(run: SoakRun, seed: int) -> list[Violation]:
     """Check that each gateway serves each path after the faults."""
     violations = []
@@ -219,7 +225,8 @@
     try:
         for name, service in ENDPOINTS.items():
             mode = "stream" if service == "model" else "ok"
-            await harness.add_endpoint(name, service, mode, proxied=True)
+            zone = "b" if name in ENDPOINTS_ELSEWHERE else "a"
+            await harness.add_endpoint(name, service, mode, proxied=True, zone=zone)
         for name in GATEWAYS:
             await harness.add_proxy(name, harness.store.port)
             seeds = [harness.ports[other]["control"] for other in harness.ports]
@@ -233,6 +240,14 @@
                 caller_rng = random.Random(f"{seed}:{number}")
                 label = f"{seed}x{number}"
                 group.create_task(_run_caller(run, caller_rng, label, end_s, calls))
+            series_rng = random.Random(f"{seed}:series")
+            group.create_task(_run_planned_series(run, series_rng, end_s))
+            for number, exchange in enumerate(EXCHANGES * CALLERS_PER_EXCHANGE):
+                caller_rng = random.Random(f"{seed}:socket:{number}")
+                label = f"{seed}{exchange.__name__[0]}{number}"
+                group.create_task(
+                    run_socket_caller(run, caller_rng, label, end_s, calls, exchange)
+                )
         for name in GATEWAYS:
             await harness.wait_ready(name)
         await asyncio.sleep(RECOVERY_S)
@@ -246,7 +261,7 @@
         for name in endpoint.executed_ids
     ]
     for call in calls:
-        run.violations += _check_call(run, call, executed_ids.count(call.request_id))
+        run.violations += check_call(run, call, executed_ids.count(call.request_id))
     served = sum(call.status == 200 and call.complete for call in calls)
     click.echo(f"seed {seed}: {len(calls)} calls, {served} served completely")
     return run.violations
--- a/devtools/soak_faults.py
+++ b/devtools/soak_faults.py
@@ -1,7 +1,7 @@
 """Operations and faults of the soak, injected from outside the gateway processes.
 
-The names of the functions in ``PLANNED_OPERATIONS`` and ``UNPLANNED_FAULTS`` are
-printed during a run.
+The names of the functions in ``PLANNED_OPERATIONS``, ``PLANNED_SERIES`` and
+``UNPLANNED_FAULTS`` are printed during a run.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 from devtools.fault_proxy import Fault
+from devtools.gateway_harness import ROUTES
 
 
 if TYPE_CHECKING:
@@ -31,6 +32,9 @@
 # Time after an unplanned fault by which its effects must be over.
 SETTLE_TIME_S = 4.0
 MAX_FAULT_S = 2.0
+SHORT_LIMITS = {"header-timeout-ms": 100, "idle-timeout-ms": 100}
+# Longer than a request takes while only planned operations are under way.
+SHORT_ROUTE_TIMEOUT_MS = 1500
 MODES = ("reset", "cut", "full", "late", "unsigned", "error", "mute")
 PROXY_FAULTS = (Fault.SILENT, Fault.LOSE_REQUESTS, Fault.LOSE_RESPONSES)
 
@@ -121,12 +125,16 @@
 
 
 async def terminate_gateway(run: SoakRun, rng: Random) -> None:
-    """Stop a gateway by SIGTERM, sometimes sent twice, and restart it.
+    """Stop a gateway by SIGTERM, sometimes sent twice, and restart it."""
+    await _restart(run, rng, rng.choice(sorted(run.harness.processes)))
+
+
+async def _restart(run: SoakRun, rng: Random, name: str) -> None:
+    """Stop a gateway by SIGTERM and restart it, unless a fault has claimed it.
 
     An exit code other than 0, or a process that outlives the grace period, is a
     violation.
     """
-    name = rng.choice(sorted(run.harness.processes))
     async with run.claim(name) as claimed:
         if not claimed:
             return
@@ -236,12 +244,98 @@
         run.harness.store.put(f"servers/{name}", endpoint.registration(sequence=3))
 
 
+async def restart_in_series(run: SoakRun, rng: Random) -> None:
+    """Restart two or three gateways, one after the other or overlapping."""
+    names = sorted(run.harness.processes)
+    async with asyncio.TaskGroup() as group:
+        for name in rng.sample(names, rng.randint(2, len(names))):
+            restart = group.create_task(_restart(run, rng, name))
+            overlap_after_s = rng.choice((None, 0.0, rng.uniform(0.0, 2.0)))
+            await asyncio.wait([restart], timeout=overlap_after_s)
+
+
+async def reload_in_series(run: SoakRun, rng: Random) -> None:
+    """Send SIGHUP to gateways up to six times, also to those that are stopping."""
+    for _ in range(rng.randint(2, 6)):
+        name = rng.choice(sorted(run.harness.processes))
+        if run.harness.handles_signal(name, signal.SIGHUP):
+            run.harness.send_signal(name, signal.SIGHUP)
+        await asyncio.sleep(rng.uniform(0.0, 0.3))
+
+
+async def change_settings(run: SoakRun, rng: Random) -> None:
+    """Change the settings file of a gateway, half of the time with SIGHUP."""
+    name = rng.choice(sorted(run.harness.processes))
+    run.harness.change_settings(name, budget_slack=rng.randint(20, 80))
+    signalled = rng.random() < 0.5
+    if signalled and run.harness.handles_signal(name, signal.SIGHUP):
+        run.harness.send_signal(name, signal.SIGHUP)
+
+
+async def publish_storm(run: SoakRun, rng: Random) -> None:
+    """Publish 15 to 40 configuration versions, some of them with short timeouts."""
+    for _ in range(rng.randint(15, 40)):
+        run.version += 1
+        limits = rng.choice((None, SHORT_LIMITS))
+        run.harness.publish(run.version, limits=limits)
+        await asyncio.sleep(rng.uniform(0.0, 0.05))
+    run.version += 1
+    run.harness.publish(run.version)
+
+
+async def shorten_timeouts(run: SoakRun, rng: Random) -> None:
+    """Publish shorter timeouts of callers and routes for 0.5 s to 2 s."""
+    run.version += 1
+    routes = [route._replace(timeout_ms=SHORT_ROUTE_TIMEOUT_MS) for route in ROUTES]
+    run.harness.publish(run.version, routes, limits=SHORT_LIMITS)
+    await asyncio.sleep(rng.uniform(0.5, MAX_FAULT_S))
+    run.version += 1
+    run.harness.publish(run.version)
+
+
+async def release_endpoint(run: SoakRun, rng: Random) -> None:
+    """Release an endpoint: it drains, is deregistered, and registers again later."""
+    name = rng.choice(sorted(run.harness.endpoints))
+    async with run.claim(name) as claimed:
+        if not claimed:
+            return
+        endpoint = run.harness.endpoints[name]
+        store = run.harness.store
+        draining = endpoint.registration(state="draining", sequence=2)
+        store.put(f"servers/{name}", draining)
+        await asyncio.sleep(rng.uniform(0.0, MAX_FAULT_S))
+        store.put(f"servers/{name}", None)
+        await asyncio.sleep(rng.uniform(0.1, MAX_FAULT_S))
+        store.put(f"servers/{name}", endpoint.registration(sequence=3))
+
+
+async def evacuate(run: SoakRun, rng: Random) -> None:
+    """Close a data centre with endpoints for 0.5 s to 2 s."""
+    key = f"op/evacuate/{rng.choice(('a', 'b'))}"
+    async with run.claim(key) as claimed:
+        if not claimed:
+            return
+        run.harness.store.put(key, {})
+        await asyncio.sleep(rng.uniform(0.5, MAX_FAULT_S))
+        run.harness.store.put(key, None)
+
+
 PLANNED_OPERATIONS: tuple[FaultAction, ...] = (
     terminate_gateway,
     reload_gateway,
     publish,
     drain_endpoint,
 )
+PLANNED_SERIES: tuple[FaultAction, ...] = (
+    restart_in_series,
+    restart_in_series,
+    reload_in_series,
+    change_settings,
+    publish_storm,
+    shorten_timeouts,
+    release_endpoint,
+    evacuate,
+)
 UNPLANNED_FAULTS: tuple[FaultAction, ...] = (
     pause_gateway,
     kill_gateway,
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -11,7 +11,10 @@
 import pytest
 from devtools.dependency_standins import wait_until
 from devtools.gateway_harness import GatewayHarness
+from devtools.soak import check_call
 from devtools.soak import soak
+from devtools.soak_callers import CROSSING_S
+from devtools.soak_callers import Call
 from devtools.soak_faults import SoakRun
 from devtools.soak_faults import reload_gateway
 
@@ -42,6 +45,45 @@
     assert await soak(seed, tmp_path) == []
 
 
+def unanswered_call(waited_s: float, *, follows_answered: bool = False) -> Call:
+    return Call(
+        request_id="q1",
+        path="/book/1",
+        status=0,
+        body=b"",
+        complete=False,
+        signed=False,
+        started_s=10.0,
+        ended_s=12.0,
+        sent_s=12.0 - waited_s,
+        follows_answered=follows_answered,
+    )
+
+
+@pytest.mark.parametrize(
+    ("call", "violated"),
+    [
+        (unanswered_call(CROSSING_S + 0.01), True),
+        (unanswered_call(0.0, follows_answered=True), True),
+        (unanswered_call(CROSSING_S - 0.01), False),
+        (unanswered_call(1.0)._replace(status=503, complete=True), False),
+        (unanswered_call(1.0)._replace(sent_s=None), False),
+    ],
+)
+async def test_a_whole_request_without_any_answer_is_a_violation(
+    call: Call, violated: bool, tmp_path: Path
+) -> None:
+    """Guards against a soak that misses a request which the gateway read and dropped.
+
+    One that crossed the gateway's close, or met an unplanned fault, is none.
+    """
+    run = SoakRun(harness=GatewayHarness(tmp_path))
+    expected = ["every whole request gets an answer"] if violated else []
+    assert [found.invariant for found in check_call(run, call, 0)] == expected
+    run.unplanned_spans.append((9.0, 11.0))
+    assert check_call(run, call, 0) == []
+
+
 async def test_reload_during_start_does_not_end_the_gateway(tmp_path: Path) -> None:
     """Guards against a SIGHUP that ends a gateway without a handler for it yet.
 
