Refuse a request whose service has no endpoint left instead of failing

Callers saw status 500 from the gateway for requests that had not run, on services without engines whose endpoints had all drained, been removed or been evacuated, or were excluded by failed attempts, when the request stated prompt parts. Requests queued for such a service also held up the queue: the error ended each dispatch before later requests were tried, so those of other services waited until such a request was withdrawn.

Cause: `_preferred_engine` takes the maximum over the candidates of a prompt with shared parts. `Admission._try_place` returns early for a service with engines if none has room, but not for other services, which reach it with no candidate. The class of fault is a caller's special case that guards a function against input which another path still passes. The function itself now allows it: no candidate, no preferred one.

Ruled out: services with engines, which return before the ranking, and `reserved_engines`, which handles fewer than two engines.

--- a/src/shallotroad/policy/placement.py
+++ b/src/shallotroad/policy/placement.py
@@ -308,11 +308,11 @@
 
     Rendezvous hashing of the last shared part selects it among the engines of the
     request's own kind (shared if it is gap-tolerant, otherwise reserved), or among all
-    if there are none. None if the prompt has no shared parts or an engine has cached
-    some of its leading parts.
+    if there are none. None if there is no engine, the prompt has no shared parts or an
+    engine has cached some of its leading parts.
     """
     shared = profile.parts[:-1]
-    if not shared or any(cached):
+    if not views or not shared or any(cached):
         return None
     by_name = {view.load.record.identifier: view for view in views}
     candidates = [
--- a/tests/unit/policy/test_placement.py
+++ b/tests/unit/policy/test_placement.py
@@ -58,3 +58,8 @@
     assert recent.recently_used_tokens(PARTS, NOW_S + 1.0) == 0
     recent.record([PromptPart(f"p{n}", 1) for n in range(MAX_PARTS)], NOW_S)
     assert recent.recently_used_tokens(PARTS, NOW_S - 1.0) == 0
+
+
+def test_no_engine_is_ranked_where_none_is_left() -> None:
+    """Guards against an error where the last candidate of a prompt is gone."""
+    assert list(rank_engines(make_profile(), [], recently_used_tokens=0)) == []
