--- a/devtools/soak_callers.py
+++ b/devtools/soak_callers.py
@@ -113,12 +113,12 @@
         self.complete = True
 
 
-def request_headers(name: str) -> dict[str, str]:
+def request_headers(name: str, *, deadline_ms: int = DEADLINE_MS) -> dict[str, str]:
     """Return the headers of the request with the id ``name``."""
     return {
         **HEADERS,
         "X-Request-Id": name,
-        "X-Deadline-Ms": str(DEADLINE_MS),
+        "X-Deadline-Ms": str(deadline_ms),
         "X-Token-Usage": "900,50",
         "X-Prompt-Prefix": f"aa:800,{name}:100",
     }
@@ -129,9 +129,10 @@
     return "GET" if path.startswith("/stock/") else "POST"
 
 
-def encode_request(name: str, path: str) -> bytes:
+def encode_request(name: str, path: str, *, deadline_ms: int = DEADLINE_MS) -> bytes:
     """Return a request with the id ``name`` and the body ``BODY``."""
-    headers = {**request_headers(name), "Content-Length": str(len(BODY))}
+    headers = request_headers(name, deadline_ms=deadline_ms)
+    headers["Content-Length"] = str(len(BODY))
     lines = "".join(f"{field}: {value}\r\n" for field, value in headers.items())
     return f"{request_method(path)} {path} HTTP/1.1\r\n{lines}\r\n".encode() + BODY
 
