Count drops on fresh connections in the soak, and unknown outcomes apart

A caller that shuts down its sending side often loses its connection within milliseconds, so that the rule for crossed requests hid the loss. The first request of a connection, sent whole at once, can't cross the end of an idle connection; it now counts unless its gateway was stopping.

Such a caller can't be told from one that has left, and its request may be cancelled; status 502 or 504 is then a truthful answer, not an interruption by a planned operation. A missing or incomplete answer is still a violation.

--- a/devtools/soak.py
+++ b/devtools/soak.py
@@ -180,10 +180,12 @@
     if call.path in AT_MOST_ONCE_PATHS and call.status in NOT_RUN_STATUSES and runs:
         violations.append(Violation("reported not run", f"{label} ran {runs} times"))
     if run.had_no_unplanned_fault(call.started_s, call.ended_s):
-        interrupted = not call.complete or call.status in (502, 504)
-        if interrupted and runs:
+        # A caller that stops sending can't be told from one that has left, so its
+        # request may be cancelled, and its outcome is then unknown.
+        unknown = call.status in (502, 504) and not call.shut_down_sending
+        if (not call.complete or unknown) and runs:
             violations.append(Violation("planned operations interrupt nothing", label))
-        if call.unanswered:
+        if call.unanswered or run.dropped_on_fresh_connection(call):
             detail = f"{label} ran {runs} times, {_describe_wait(call)}"
             violations.append(Violation("every whole request gets an answer", detail))
     return violations
--- a/devtools/soak_callers.py
+++ b/devtools/soak_callers.py
@@ -38,7 +38,10 @@
     ``signed`` tells whether the response has the header with an endpoint's signature,
     whose value is not verified. Times are of the monotonic clock. ``sent_s`` is when
     the last byte was written; None if it was not, or is not known. ``follows_answered``
-    tells whether it was sent whole in one write with a request that got a response.
+    tells whether it was sent whole in one write with a request that got a response,
+    and ``shut_down_sending`` whether its caller then shut down its sending side.
+    ``fresh_at`` is the gateway of a request that was the first of its connection, if
+    it was sent whole at once; empty otherwise.
     """
 
     request_id: str
@@ -51,12 +54,15 @@
     ended_s: float
     sent_s: float | None = None
     follows_answered: bool = False
+    shut_down_sending: bool = False
+    fresh_at: str = ""
 
     @property
     def unanswered(self) -> bool:
         """Whether the gateway received the whole request and answered it not at all.
 
-        A request that may have crossed the gateway's close does not count.
+        A request that may have crossed the gateway's close does not count; one with
+        ``fresh_at`` can't unless that gateway was stopping.
         """
         if self.complete or self.sent_s is None:
             return False
@@ -162,8 +168,13 @@
     writer: asyncio.StreamWriter,
     exchange: Exchange,
     requests: dict[str, str],
+    *,
+    fresh_at: str = "",
 ) -> list[Call]:
-    """Send requests, whose paths are given by their ids, and receive the responses."""
+    """Send requests, whose paths are given by their ids, and receive the responses.
+
+    ``fresh_at`` is the gateway, if the connection has not been used yet.
+    """
     started_s = time.monotonic()
     sent_s: list[float | None] = [None] * len(requests)
     data = [encode_request(name, path) for name, path in requests.items()]
@@ -190,7 +201,9 @@
                 started_s,
                 time.monotonic(),
                 sent_s[number],
-                number > 0 and calls[-1].complete and not is_split,
+                follows_answered=number > 0 and calls[-1].complete and not is_split,
+                shut_down_sending=exchange.shuts_down_sending,
+                fresh_at=fresh_at if number == 0 and not is_split else "",
             )
         )
     sending.cancel()
@@ -247,15 +260,18 @@
             await asyncio.sleep(RECONNECT_DELAY_S)
             continue
         connected = True
+        fresh_at = gateway
         while connected and time.monotonic() < end_s:
             exchange = make_exchange(rng)
             requests = {}
             for _ in range(exchange.request_count):
                 number += 1
                 requests[f"{label}x{number}"] = rng.choice(PATHS)
-            sent = await send_exchange(reader, writer, exchange, requests)
-            calls += sent
-            connected = sent[-1].complete and not exchange.shuts_down_sending
+            calls += await send_exchange(
+                reader, writer, exchange, requests, fresh_at=fresh_at
+            )
+            fresh_at = ""
+            connected = calls[-1].complete and not exchange.shuts_down_sending
             # Most requests follow at once; some meet the end of an idle connection.
             await asyncio.sleep(rng.choice((0.0, 0.0, 0.0, rng.uniform(0.0, 2.0))))
             connected = connected and not reader.at_eof()
--- a/devtools/soak_faults.py
+++ b/devtools/soak_faults.py
@@ -10,6 +10,7 @@
 import signal
 import time
 from contextlib import asynccontextmanager
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -21,9 +22,11 @@
     from collections.abc import AsyncIterator
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Iterator
     from random import Random
 
     from devtools.gateway_harness import GatewayHarness
+    from devtools.soak_callers import Call
 
     FaultAction = Callable[["SoakRun", Random], Awaitable[None]]
 
@@ -49,6 +52,7 @@
 class SoakRun:
     """The processes under test, the violations and the spans of unplanned faults.
 
+    ``stop_spans`` has the spans of each gateway's stops.
     ``claimed_targets`` are the processes and stand-ins that a fault works on now.
     ``version`` is that of the configuration published last.
     """
@@ -56,6 +60,7 @@
     def __init__(self, *, harness: GatewayHarness) -> None:
         self.harness = harness
         self.unplanned_spans: list[tuple[float, float]] = []
+        self.stop_spans: dict[str, list[tuple[float, float]]] = {}
         self.violations: list[Violation] = []
         self.version = 1
         self.claimed_targets: set[str] = set()
@@ -77,6 +82,31 @@
             end <= started_s or start >= ended_s for start, end in self.unplanned_spans
         )
 
+    @contextmanager
+    def stopping(self, name: str) -> Iterator[None]:
+        """Record the span of a gateway's stop."""
+        started_s = time.monotonic()
+        spans = self.stop_spans.setdefault(name, [])
+        number = len(spans)
+        spans.append((started_s, float("inf")))
+        try:
+            yield
+        finally:
+            spans[number] = (started_s, time.monotonic())
+
+    def dropped_on_fresh_connection(self, call: Call) -> bool:
+        """Return whether a gateway that was not stopping left its caller no answer.
+
+        Only a request that was sent at once on a new connection can be told from one
+        that crossed the end of an idle connection.
+        """
+        if call.complete or not call.fresh_at or call.sent_s is None:
+            return False
+        return all(
+            end <= call.started_s or start >= call.ended_s
+            for start, end in self.stop_spans.get(call.fresh_at, [])
+        )
+
     def check_still_running(self, name: str) -> None:
         """Record a violation if a gateway has ended though no fault ended it."""
         if self.harness.processes[name].returncode is not None:
@@ -143,17 +173,19 @@
         # SIGTERM ends a process with another code while its interpreter still starts
         # and no handler is installed; such an exit is no violation.
         has_handler = run.harness.handles_signal(name, signal.SIGTERM)
-        run.harness.send_signal(name, signal.SIGTERM)
-        if rng.random() < 0.3:
-            await asyncio.sleep(0.1)
+        with run.stopping(name):
             run.harness.send_signal(name, signal.SIGTERM)
-        try:
-            async with asyncio.timeout(GRACE_PERIOD_S):
+            if rng.random() < 0.3:
+                await asyncio.sleep(0.1)
+                run.harness.send_signal(name, signal.SIGTERM)
+            try:
+                async with asyncio.timeout(GRACE_PERIOD_S):
+                    code = await process.wait()
+            except TimeoutError:
+                detail = f"{name} still runs"
+                run.violations.append(Violation("graceful shutdown", detail))
+                run.harness.send_signal(name, signal.SIGKILL)
                 code = await process.wait()
-        except TimeoutError:
-            run.violations.append(Violation("graceful shutdown", f"{name} still runs"))
-            run.harness.send_signal(name, signal.SIGKILL)
-            code = await process.wait()
         if code != 0 and has_handler:
             run.violations.append(Violation("graceful shutdown", f"{name} code {code}"))
         await run.harness.start(name, _seeds(run.harness, name), wait=False)
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -84,6 +84,31 @@
     assert check_call(run, call, 0) == []
 
 
+def test_a_drop_on_a_fresh_connection_counts_unless_its_gateway_stops(
+    tmp_path: Path,
+) -> None:
+    """Guards against a soak that takes a dropped first request for a crossed one."""
+    run = SoakRun(harness=GatewayHarness(tmp_path))
+    call = unanswered_call(0.0)._replace(fresh_at="g1")
+    assert len(check_call(run, call, 0)) == 1
+    run.stop_spans = {"g1": [(1.0, 9.0)], "g2": [(9.0, 13.0)]}
+    assert len(check_call(run, call, 0)) == 1
+    run.stop_spans["g1"].append((11.0, 13.0))
+    assert check_call(run, call, 0) == []
+
+
+def test_only_a_caller_that_stopped_sending_may_get_an_unknown_outcome(
+    tmp_path: Path,
+) -> None:
+    """Guards against a soak that accepts status 502 for a caller that still sends."""
+    run = SoakRun(harness=GatewayHarness(tmp_path))
+    call = unanswered_call(0.0)._replace(status=502, complete=True)
+    assert len(check_call(run, call, 1)) == 1
+    half_closed = call._replace(shut_down_sending=True)
+    assert check_call(run, half_closed, 1) == []
+    assert len(check_call(run, half_closed._replace(complete=False), 1)) == 1
+
+
 async def test_reload_during_start_does_not_end_the_gateway(tmp_path: Path) -> None:
     """Guards against a SIGHUP that ends a gateway without a handler for it yet.
 
