Tell crashes of endpoints from resets in the log and metrics

The log had the same line for a crash and for the reset of one connection, and named parts of prompts only at the end of a request, so it could not tell a part that crashes engines from a frequent one.

Change: CrashMonitor asks, once for all connections that an endpoint ends together, whether its address still accepts one, and logs `endpoint crashed` or `endpoint connections lost` with the requests that had no half second of stream; shallotroad_endpoint_losses_total counts them. No decision depends on it yet.

The cost is one connection attempt for each gateway and crash.

--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -17,6 +17,7 @@
 from shallotroad.gateway.coordination.datagrams import CoordinationProtocol
 from shallotroad.gateway.coordination.datagrams import bind_datagram_socket
 from shallotroad.gateway.coordination.placement_client import PlacementClient
+from shallotroad.gateway.crash_monitor import CrashMonitor
 from shallotroad.gateway.endpoint_registry import EndpointRegistry
 from shallotroad.gateway.event_stream import EventStreamSplitter
 from shallotroad.gateway.exports import make_status_handler
@@ -177,9 +178,11 @@
         coordinator=coordinator, placement_client=placement_client
     )
     metrics = GatewayMetrics()
+    crash_monitor = CrashMonitor(metrics=metrics, clock=clock)
     forwarder = Forwarder(
         endpoint_registry=endpoint_registry,
         placement_client=placement_client,
+        crash_monitor=crash_monitor,
         membership=membership,
         bounds=settings.bounds,
         metrics=metrics,
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -33,6 +33,8 @@
     from collections.abc import Callable
 
     from shallotroad.gateway.coordination.placement_client import PlacementClient
+    from shallotroad.gateway.crash_monitor import AttemptWatch
+    from shallotroad.gateway.crash_monitor import CrashMonitor
     from shallotroad.gateway.endpoint_registry import EndpointRegistry
     from shallotroad.gateway.event_stream import EventStreamSplitter
     from shallotroad.gateway.job import Job
@@ -131,6 +133,8 @@
         Has the connection pools of the endpoints.
     placement_client : PlacementClient
         Chooses the endpoint of each attempt.
+    crash_monitor : CrashMonitor
+        Is told how the attempts fare.
     membership : Membership
         Gives the number of gateways that share the slack of the retry budgets.
     bounds : Bounds
@@ -147,6 +151,7 @@
         *,
         endpoint_registry: EndpointRegistry,
         placement_client: PlacementClient,
+        crash_monitor: CrashMonitor,
         membership: Membership,
         bounds: Bounds,
         metrics: GatewayMetrics,
@@ -155,6 +160,7 @@
     ) -> None:
         self._endpoint_registry = endpoint_registry
         self._placement_client = placement_client
+        self._crash_monitor = crash_monitor
         self._membership = membership
         self.bounds = bounds
         self._metrics = metrics
@@ -361,6 +367,7 @@
         progress = AttemptProgress(
             placement=placement,
             placement_client=self._placement_client,
+            watch=self._crash_monitor.watch(job, load.record),
             clock=self._clock,
         )
         connection: EndpointConnection | None = None
@@ -393,11 +400,15 @@
             else:
                 progress.success = True
             self._metrics.attempts.inc({"end": "answered"})
+            if connection.usable:
+                progress.watch.record_complete()
             pool.release(connection)
             connection = None
             return response
         except (ConnectionLostError, MalformedResponseError) as error:
             progress.failure = 1.0
+            if isinstance(error, ConnectionLostError):
+                progress.watch.record_connection_lost()
             raise AttemptOutcomeUnknownError(str(error)) from error
         except TimeoutError:
             if not progress.started_s:
@@ -603,6 +614,8 @@
 
     Attributes
     ----------
+    watch : AttemptWatch
+        Reports it to the crash monitor.
     sent_s : float
         When the request was written to the connection, monotonic time in seconds;
         until then, when the attempt began.
@@ -621,8 +634,10 @@
         *,
         placement: Placement,
         placement_client: PlacementClient,
+        watch: AttemptWatch,
         clock: Callable[[], float],
     ) -> None:
+        self.watch = watch
         self._placement = placement
         self._placement_client = placement_client
         self._clock = clock
@@ -653,6 +668,8 @@
         self._placement_client.record_events(
             self._placement, events.count(EVENT_SEPARATOR)
         )
+        if self.started_s:
+            self.watch.record_events(self._clock() - self.started_s)
 
     def record_end(self, *, update_slowness: bool) -> None:
         """Record the outcome and the end of the attempt.
--- a/src/shallotroad/gateway/metrics.py
+++ b/src/shallotroad/gateway/metrics.py
@@ -48,6 +48,9 @@
         "left" (the caller disconnected) or "error" (unexpected exception).
     attempts : Counter
         Attempts by ``end``: "answered", "not run" or "unknown".
+    endpoint_losses : Counter
+        Endpoints that ended connections with requests in flight, by ``cause``: "crash",
+        "leaving" (it was draining) or "reset" (it still accepts connections).
     first_event_s : Histogram
         Time from the arrival of a request to the head of its stream, by ``kind``.
     request_s : Histogram
@@ -72,6 +75,11 @@
             "Attempts at endpoints by end",
             registry=self.registry,
         )
+        self.endpoint_losses = Counter(
+            "shallotroad_endpoint_losses_total",
+            "Endpoints that ended connections with requests in flight, by cause",
+            registry=self.registry,
+        )
         self.first_event_s = Histogram(
             "shallotroad_first_event_seconds",
             "Time to the first event of streams",
