Show that a prompt part goes on crashing engines

The process test sends requests with such a part, no two alike, to three gateways and eight engines that end all connections on it and start again. 3 s after the fifth crash, 24 more are sent, each followed by a sound request with the same first part.

--- a/devtools/dependency_standins.py
+++ b/devtools/dependency_standins.py
@@ -23,6 +23,9 @@
 STALLED_BODY_BYTES = 100_000
 STALLED_BYTE_INTERVAL_S = 0.1
 EVENT_GAP_S = 0.05
+# Time from receiving a deadly request to the crash, and from there to the restart.
+CRASH_DELAY_S = 0.03
+RESTART_DELAY_S = 0.6
 FILLER = b"x" * 65_536
 # The only service that the configuration describes as engines.
 ENGINE_SERVICE = "model"
@@ -129,6 +132,12 @@
     headers: dict[str, str]
     body: bytes
 
+    @property
+    def prompt_parts(self) -> list[str]:
+        """Identifiers of the parts of the prompt, in their order."""
+        prefix = self.headers.get("x-prompt-prefix", "")
+        return [part.partition(":")[0] for part in prefix.split(",")]
+
 
 class EndpointStandin:
     """An endpoint that responds as its ``mode`` says.
@@ -161,6 +170,11 @@
         read, until the connection is closed.
 
     ``executed_ids`` has one item for each time that a request was run.
+
+    A request whose prompt has the part ``deadly_part`` crashes the endpoint in any
+    mode: all its connections end, and it starts again after ``RESTART_DELAY_S``.
+    ``crash_times_s`` has the time of the event loop of each crash, and ``on_restart``
+    is called after each restart.
     """
 
     def __init__(self, *, name: str, service: str, mode: str = "ok") -> None:
@@ -177,18 +191,41 @@
         self.filler_bytes = 0
         self.registered_port = 0
         self.port = 0
+        self.deadly_part = ""
+        self.crash_times_s: list[float] = []
+        self.on_restart: Callable[[], None] = lambda: None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._restart: asyncio.Task[None] | None = None
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        """Listen on a free port, after a crash on the one from before."""
+        self._server = await asyncio.start_server(self._serve, HOST, self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def close(self) -> None:
         """Stop listening."""
+        if self._restart is not None:
+            self._restart.cancel()
         if self._server is not None:
             self._server.close()
 
+    def crash(self) -> None:
+        """End all connections, and start again later."""
+        if self._restart is not None and not self._restart.done():
+            return
+        self.crash_times_s.append(asyncio.get_running_loop().time())
+        if self._server is not None:
+            self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        self._restart = asyncio.create_task(self._start_again())
+
+    async def _start_again(self) -> None:
+        await asyncio.sleep(RESTART_DELAY_S)
+        await self.start()
+        self.on_restart()
+
     def registration(self, **changes: Any) -> dict[str, Any]:
         """Return the document by which the endpoint registers in the store.
 
@@ -203,13 +240,14 @@
             "state": "ready",
             "cold-remaining-ms": 0,
             "sequence": 1,
-            "born": 1,
+            "born": 1 + len(self.crash_times_s),
             **changes,
         }
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -227,12 +265,17 @@
                     request_id, first.split(" ")[1], headers, body
                 )
                 self.received.append(request)
+                if self.deadly_part and self.deadly_part in request.prompt_parts:
+                    await asyncio.sleep(CRASH_DELAY_S)
+                    self.crash()
+                    return
                 if not await self._respond(request, writer):
                     writer.transport.abort()
                     return
         except (asyncio.IncompleteReadError, ConnectionError):
             self.aborted_connections += 1
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     @property
--- a/devtools/gateway_harness.py
+++ b/devtools/gateway_harness.py
@@ -86,9 +86,13 @@
         if proxied:
             proxy = await self.add_proxy(name, endpoint.port)
             endpoint.registered_port = proxy.port
-        self.store.put(f"servers/{name}", endpoint.registration())
+        self._register(endpoint)
+        endpoint.on_restart = lambda: self._register(endpoint)
         return endpoint
 
+    def _register(self, endpoint: EndpointStandin) -> None:
+        self.store.put(f"servers/{endpoint.name}", endpoint.registration())
+
     def publish(self, version: int, routes: list[RouteSpec] | None = None) -> None:
         """Publish a configuration of this version, by default with ``ROUTES``."""
         document = make_configuration_document(
--- /dev/null
+++ b/tests/processes/test_part_that_crashes_engines.py
@@ -0,0 +1,88 @@
+"""A prompt part that crashes engines is kept from them, and sound requests are not.
+
+Operators of similar systems saw requests with one part crash engine after engine.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+from devtools.dependency_standins import RouteSpec
+from devtools.gateway_harness import GatewayHarness
+
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from pathlib import Path
+
+    from devtools.gateway_harness import Response
+
+GATEWAYS = ("g1", "g2", "g3")
+ENGINES = 8
+CONTACT_S = 3.0
+# Requests with the part that may reach engines later than CONTACT_S after the fifth
+# crash.
+MAX_LATE_ARRIVALS = 3
+INTERVAL_S = 0.3
+
+
+@pytest.fixture
+async def harness(tmp_path: Path) -> AsyncIterator[GatewayHarness]:
+    gateway_harness = GatewayHarness(tmp_path)
+    await gateway_harness.store.start()
+    gateway_harness.publish(
+        1, [RouteSpec("/notes/", "streaming", "model", resumable=True)]
+    )
+    for number in range(ENGINES):
+        endpoint = await gateway_harness.add_endpoint(f"m{number}", "model", "stream")
+        endpoint.deadly_part = "deadly"
+    for name in GATEWAYS:
+        seeds = [ports["control"] for ports in gateway_harness.ports.values()]
+        await gateway_harness.start(name, seeds)
+    yield gateway_harness
+    await gateway_harness.close()
+
+
+def count_crashes(harness: GatewayHarness) -> int:
+    return sum(len(e.crash_times_s) for e in harness.endpoints.values())
+
+
+def count_arrivals(harness: GatewayHarness) -> int:
+    return sum(
+        "deadly" in request.prompt_parts
+        for endpoint in harness.endpoints.values()
+        for request in endpoint.received
+    )
+
+
+async def send(harness: GatewayHarness, number: int, parts: str) -> Response:
+    return await harness.send_request(
+        f"/notes/{number}",
+        f"q{number}",
+        body=str(number).encode(),
+        name=GATEWAYS[number % len(GATEWAYS)],
+        extra_headers={"X-Prompt-Prefix": parts},
+    )
+
+
+# Guards against a part whose requests, no two alike, crash engines without end.
+async def test_a_part_that_crashes_engines_stops_reaching_them(
+    harness: GatewayHarness,
+) -> None:
+    number = 0
+    while count_crashes(harness) < 5 and number < 20:
+        response = await send(harness, number, f"shared:300,deadly:50,own{number}:90")
+        assert response.status in (502, 503)
+        number += 1
+        await asyncio.sleep(INTERVAL_S)
+    await asyncio.sleep(CONTACT_S)
+    before = count_arrivals(harness)
+    sound: list[Response] = []
+    for late in range(100, 124):
+        await send(harness, late, f"shared:300,deadly:50,own{late}:90")
+        sound.append(await send(harness, late + 100, f"shared:300,own{late}:90"))
+    assert count_arrivals(harness) - before <= MAX_LATE_ARRIVALS
+    assert [response.status for response in sound] == [200] * len(sound)
+    assert all(response.complete for response in sound)
