Suspend requests whose prompt part crashes engines

Class of fault: correlated failures whose cause travels with the load, retried as if each were independent.

Change: CrashCorrelation keeps, for each crash, the keys (shared parts, fingerprint) of the requests that had not proven themselves by half a second of stream or a whole answer. A key in three crash moments without an answer in between suspends the requests that have it, five if it was answered in the minute before. Crashes that one key explains do not count for others; keys that always occur together are suspended together only; crashes within 0.2 s are one moment; a reset of connections is none. An answer clears a key at all gateways. Facts spread by epidemic broadcast in datagrams, and by the exchange of gossip. A suspended request ends with 503 if it has not run, else with 502 or a broken stream; three trials, 10, 20 and 40 s after the crash or trial before, each by one gateway, find out whether the key still crashes engines.

Why it works: a deadly part is never answered, so nothing clears it, while a sound part is answered between the crashes.

--- a/src/shallotroad/gateway/coordination/datagrams.py
+++ b/src/shallotroad/gateway/coordination/datagrams.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from shallotroad.gateway.coordination.exceptions import MalformedMessageError
+from shallotroad.gateway.coordination.messages import CrashNews
 from shallotroad.gateway.coordination.messages import Ended
 from shallotroad.gateway.coordination.messages import Report
 from shallotroad.gateway.coordination.messages import Started
@@ -35,6 +36,7 @@
     """Sends messages to gateways by name and dispatches the received ones.
 
     Until ``set_handlers`` is called, received messages are counted and dropped.
+    ``on_crash_news`` is called with the rows of received ``CrashNews``.
     """
 
     def __init__(self, *, membership: Membership, clock: Callable[[], float]) -> None:
@@ -43,6 +45,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._coordinator: Coordinator | None = None
         self._placement_client: PlacementClient | None = None
+        self.on_crash_news: Callable[[list[Any]], None] = lambda _: None
         self.datagrams_sent = 0
         self.datagrams_received = 0
 
@@ -92,6 +95,8 @@
             self._coordinator.record_end(message)
         elif isinstance(message, Report):
             self._coordinator.apply_report(message)
+        elif isinstance(message, CrashNews):
+            self.on_crash_news(message.rows)
         else:
             self._placement_client.handle_reply(message)
 
--- a/src/shallotroad/gateway/coordination/messages.py
+++ b/src/shallotroad/gateway/coordination/messages.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import Any
 from typing import NamedTuple
 
 import orjson
@@ -23,9 +23,6 @@
 from shallotroad.policy.placement_request import PlacementRequest
 
 
-if TYPE_CHECKING:
-    from typing import Any
-
 MS_PER_S = 1000.0
 
 
@@ -147,7 +144,18 @@
     pending: tuple[int, ...]
 
 
-Message = Submit | Grant | Queued | Decline | Refuse | Started | Ended | Report
+class CrashNews(NamedTuple):
+    """Facts about crashes of endpoints, as rows of ``encode_fact``.
+
+    The fields of the rows are checked where they are merged.
+    """
+
+    rows: list[Any]
+
+
+Message = (
+    Submit | Grant | Queued | Decline | Refuse | Started | Ended | Report | CrashNews
+)
 
 REPLY_KINDS = {Grant: "grant", Queued: "hold", Decline: "decline", Refuse: "refuse"}
 
@@ -296,8 +304,13 @@
 
 def _decode_submission(
     kind: str, fields: list[Any], now_s: float
-) -> Submit | Started | Ended | Report | None:
-    """Return the message to a coordinator, or None if it is of another kind."""
+) -> Submit | Started | Ended | Report | CrashNews | None:
+    """Return the message to a coordinator or peer, or None if it is of another kind."""
+    if kind == "crash":
+        (rows,) = fields
+        if not isinstance(rows, list):
+            raise TypeError("rows of crash news are not a list")
+        return CrashNews(rows)
     sender = _decode_sender(fields[0])
     if kind == "ask":
         number, request = fields[1:]
@@ -326,6 +339,8 @@
     if isinstance(message, Report):
         in_flight = [list(request) for request in message.in_flight]
         return orjson.dumps(["work", list(message.sender), in_flight, message.pending])
+    if isinstance(message, CrashNews):
+        return orjson.dumps(["crash", message.rows])
     if isinstance(message, Started):
         fields = [message.number, round(message.first_event_ms)]
         return orjson.dumps(["start", list(message.sender), *fields])
--- a/src/shallotroad/gateway/crash_monitor.py
+++ b/src/shallotroad/gateway/crash_monitor.py
@@ -1,16 +1,25 @@
-"""Tells crashes of endpoints from resets of single connections.
+"""Watches for crashes of endpoints and suspends the requests that cause them.
 
-Both end an attempt with ``ConnectionLostError``. After a crash, the endpoint's address
-accepts no connection until the endpoint has started again; after a reset it does.
+A crash and the reset of a connection both end an attempt with ``ConnectionLostError``.
+After a crash, the endpoint's address accepts no connection until the endpoint has
+started again; after a reset it does. ``CrashCorrelation`` finds what the requests lost
+in crashes have in common.
 """
 
 from __future__ import annotations
 
 import asyncio
+import hashlib
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from shallotroad.gateway.exceptions import RefusedError
 from shallotroad.observability.event_log import log_event
+from shallotroad.policy.crash_correlation import FINGERPRINT_PREFIX
+from shallotroad.policy.crash_correlation import MAX_KEYS
+from shallotroad.policy.crash_correlation import MAX_TEXT_LENGTH
+from shallotroad.policy.crash_correlation import Incarnation
+from shallotroad.policy.crash_correlation import is_fingerprint
 from shallotroad.upstream.connection import connect
 from shallotroad.upstream.exceptions import ConnectError
 
@@ -20,8 +29,12 @@
     from collections.abc import Callable
 
     from shallotroad.catalog.endpoint import EndpointRecord
+    from shallotroad.gateway.crash_exchange import CrashExchange
     from shallotroad.gateway.job import Job
+    from shallotroad.gateway.membership import Membership
     from shallotroad.gateway.metrics import GatewayMetrics
+    from shallotroad.policy.crash_correlation import CrashCorrelation
+    from shallotroad.policy.crash_correlation import Verdict
 
 # An attempt is proven once its stream has gone on for this long after the first event,
 # or its response is complete: what it sent did not crash the endpoint.
@@ -31,16 +44,11 @@
 CONNECT_TIMEOUT_S = 0.4
 # Requests that one log line names.
 MAX_LOGGED_REQUESTS = 8
-
-
-class Incarnation(NamedTuple):
-    """One run of an endpoint's process.
-
-    ``started_at_ms`` is the Unix time of its start; 0 when it is not stated.
-    """
-
-    endpoint: str
-    started_at_ms: int
+# Lost requests of one crash whose keys are kept.
+MAX_LOST_REQUESTS = 16
+# Retry-After of a suspended request: the time to the next trial within these limits.
+MIN_RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 60.0
 
 
 class LostAttempt(NamedTuple):
@@ -51,6 +59,34 @@
     proven: bool
 
 
+def prompt_keys(job: Job) -> tuple[str, ...]:
+    """Return the keys of the shared parts of a job's prompt.
+
+    The last part is the request's own, so the fingerprint stands for it.
+    """
+    identifiers = (part.identifier for part in job.profile.parts[:-1][: MAX_KEYS - 1])
+    return tuple(
+        text if len(text) <= MAX_TEXT_LENGTH else _digest(text.encode())
+        for text in identifiers
+        if text
+    )
+
+
+def fingerprint(job: Job) -> str:
+    """Return the key of a job's path, team and body."""
+    team = job.team.name if job.team is not None else ""
+    caller = f"{team}\n{job.request.host}\n{job.request.target}\n"
+    return FINGERPRINT_PREFIX + _digest(caller.encode() + job.body)
+
+
+def _digest(data: bytes) -> str:
+    return hashlib.blake2b(data, digest_size=12).hexdigest()
+
+
+def _keys_for_log(verdict: Verdict) -> list[str]:
+    return sorted(verdict.keys)
+
+
 async def accepts_connections(host: str, port: int) -> bool:
     """Return whether a connection to an address can be established."""
     try:
@@ -80,11 +116,16 @@
     def record_events(self, since_first_event_s: float) -> None:
         """Record events that arrived so long after the first one."""
         if since_first_event_s >= PROOF_S:
-            self.proven = True
+            self._record_proof()
 
     def record_complete(self) -> None:
         """Record a complete response whose end the connection has outlived."""
-        self.proven = True
+        self._record_proof()
+
+    def _record_proof(self) -> None:
+        if not self.proven:
+            self.proven = True
+            self._monitor.record_answer(self.job)
 
     def record_connection_lost(self) -> None:
         """Record that the connection ended before the response."""
@@ -92,10 +133,16 @@
 
 
 class CrashMonitor:
-    """Classifies lost connections and logs crashes of endpoints.
+    """Classifies lost connections, and suspends the requests that crash endpoints.
 
     Parameters
     ----------
+    correlation : CrashCorrelation
+        Keeps the facts and finds the keys that explain the crashes.
+    exchange : CrashExchange
+        Sends new facts to the other gateways.
+    membership : Membership
+        Decides which gateway makes the next trial of a suspended key.
     clock : callable
         Returns the monotonic time in seconds.
     accepts : callable
@@ -105,20 +152,43 @@
     def __init__(
         self,
         *,
+        correlation: CrashCorrelation,
+        exchange: CrashExchange,
+        membership: Membership,
         metrics: GatewayMetrics,
         clock: Callable[[], float],
         accepts: Callable[[str, int], Awaitable[bool]] = accepts_connections,
     ) -> None:
+        self._correlation = correlation
+        self._exchange = exchange
+        self._membership = membership
         self._metrics = metrics
         self._clock = clock
         self._accepts = accepts
         self._lost: dict[Incarnation, list[LostAttempt]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._suspended: dict[frozenset[str], Verdict] = {}
+        exchange.on_changed = self._update_verdicts
+
+    @property
+    def suspended(self) -> list[Verdict]:
+        """The verdicts as of the latest change."""
+        return list(self._suspended.values())
 
     def watch(self, job: Job, record: EndpointRecord) -> AttemptWatch:
         """Return the watch of a new attempt of a job at an endpoint."""
         return AttemptWatch(monitor=self, job=job, record=record)
 
+    def record_answer(self, job: Job) -> None:
+        """Record that an endpoint answered a job and went on running."""
+        keys = prompt_keys(job)
+        if self._correlation.has_losses:
+            keys = (*keys, fingerprint(job))
+        facts = self._correlation.record_answer(keys, self._clock())
+        if facts:
+            self._exchange.publish(facts)
+            self._update_verdicts()
+
     def record_connection_lost(self, watch: AttemptWatch) -> None:
         """Note a lost attempt; the first of an endpoint starts the classification."""
         lost = self._lost.get(watch.incarnation)
@@ -130,7 +200,7 @@
         lost.append(LostAttempt(watch.job, self._clock(), watch.proven))
 
     async def _classify(self, record: EndpointRecord) -> None:
-        """Find out why the connections to an endpoint were lost, and log it."""
+        """Find out why the connections to an endpoint were lost, and record it."""
         incarnation = Incarnation(record.identifier, record.started_at_ms)
         await asyncio.sleep(CONFIRMATION_DELAY_S)
         accepts = await self._accepts(record.host, record.port)
@@ -152,3 +222,86 @@
                 for job in unproven[:MAX_LOGGED_REQUESTS]
             ],
         )
+        if cause == "crash" and unproven:
+            requests = [
+                (*prompt_keys(job), fingerprint(job))
+                for job in unproven[:MAX_LOST_REQUESTS]
+            ]
+            facts = self._correlation.record_crash(
+                incarnation, requests, lost[0].lost_s
+            )
+            self._exchange.publish(facts)
+            self._update_verdicts()
+
+    def check(self, job: Job) -> None:
+        """Raise ``RefusedError`` if a job is suspended and this is not its trial.
+
+        Called before each attempt is placed and again before it is sent.
+        """
+        if not self._suspended and not self._correlation.has_losses:
+            return
+        self._update_verdicts()
+        now_s = self._clock()
+        for verdict in self._suspended.values():
+            if not self._applies(verdict, job):
+                continue
+            if job.trial_attempt == len(job.attempts):
+                continue
+            trial_s = self._correlation.next_trial_s(verdict)
+            if now_s >= trial_s and self._makes_trial(verdict, now_s):
+                job.trial_attempt = len(job.attempts)
+                log_event(
+                    "suspension trial",
+                    request=job.request.request_id,
+                    keys=_keys_for_log(verdict),
+                )
+                self._metrics.suspensions.inc({"event": "trial"})
+                self._exchange.publish(self._correlation.begin_trial(verdict, now_s))
+                continue
+            self._metrics.suspensions.inc({"event": "refused"})
+            raise RefusedError(
+                "requests like this one crash endpoints",
+                retry_after_s=max(
+                    MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, trial_s - now_s)
+                ),
+            )
+
+    def _applies(self, verdict: Verdict, job: Job) -> bool:
+        parts = prompt_keys(job)
+        own = None
+        for key in verdict.keys:
+            if not is_fingerprint(key):
+                if key not in parts:
+                    return False
+                continue
+            own = own or fingerprint(job)
+            if key != own:
+                return False
+        return True
+
+    def _makes_trial(self, verdict: Verdict, now_s: float) -> bool:
+        """Return whether the next trial is this gateway's, by rendezvous hashing."""
+        names = self._membership.live_names(now_s)
+        chosen = max(names, key=lambda name: _digest(f"{verdict.lead} {name}".encode()))
+        return chosen == self._membership.name
+
+    def _update_verdicts(self) -> None:
+        """Take over the verdicts that hold now, and log those that began or ended."""
+        now_s = self._clock()
+        current = {
+            verdict.keys: verdict for verdict in self._correlation.verdicts(now_s)
+        }
+        previous, self._suspended = self._suspended, current
+        for verdict in current.values():
+            if verdict.keys not in previous:
+                self._metrics.suspensions.inc({"event": "begun"})
+                log_event(
+                    "requests suspended",
+                    keys=_keys_for_log(verdict),
+                    crashes=verdict.crashes,
+                    last_crash_ms=round((now_s - verdict.last_crash_s) * 1000),
+                )
+        for verdict in previous.values():
+            if verdict.keys not in current:
+                self._metrics.suspensions.inc({"event": "lifted"})
+                log_event("suspension lifted", keys=_keys_for_log(verdict))
--- a/src/shallotroad/gateway/exports.py
+++ b/src/shallotroad/gateway/exports.py
@@ -38,9 +38,10 @@
     ``coordinators`` the first two for each cell of a service with an engine;
     ``granted_to_others`` the number of other gateways' requests in flight that this
     gateway counts; ``waiting`` that of the queued requests; and ``stopping`` whether
-    the gateway is draining. Each of the ``endpoints`` has the figures of its
-    ``EndpointLoad``; ``running_everywhere`` equals ``running``, and ``cold_s`` is the
-    rest of the cold time.
+    the gateway is draining. ``suspended`` has the keys of the requests that are refused
+    because they crash endpoints, and the time since their last crash. Each of
+    the ``endpoints`` has the figures of its ``EndpointLoad``; ``running_everywhere``
+    equals ``running``, and ``cold_s`` is the rest of the cold time.
     """
     now_s = components.clock()
     configuration = components.catalog.configuration
@@ -71,6 +72,14 @@
         "waiting": components.admission.queue_length,
         "open_requests": components.frontend.open_requests,
         "stopping": components.frontend.draining,
+        "suspended": [
+            {
+                "keys": sorted(verdict.keys),
+                "crashes": verdict.crashes,
+                "last_crash_s": round(now_s - verdict.last_crash_s, 1),
+            }
+            for verdict in components.crash_monitor.suspended
+        ],
         "endpoints": [
             {
                 "endpoint": identifier,
--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -17,6 +17,7 @@
 from shallotroad.gateway.coordination.datagrams import CoordinationProtocol
 from shallotroad.gateway.coordination.datagrams import bind_datagram_socket
 from shallotroad.gateway.coordination.placement_client import PlacementClient
+from shallotroad.gateway.crash_exchange import CrashExchange
 from shallotroad.gateway.crash_monitor import CrashMonitor
 from shallotroad.gateway.endpoint_registry import EndpointRegistry
 from shallotroad.gateway.event_stream import EventStreamSplitter
@@ -38,6 +39,7 @@
 from shallotroad.observability.event_log import log_event
 from shallotroad.platform.store import StoreClient
 from shallotroad.policy.cold_start import ColdStartLimiter
+from shallotroad.policy.crash_correlation import CrashCorrelation
 
 
 if TYPE_CHECKING:
@@ -91,6 +93,8 @@
         ``admission``, and reports the requests in flight to the coordinators.
     admission : Admission
         Chooses endpoints, and queues requests while none has room.
+    crash_monitor : CrashMonitor
+        Suspends requests that crash endpoints.
     forwarder : Forwarder
         Sends jobs to endpoints and retries them.
     frontend : HttpFrontend
@@ -114,6 +118,7 @@
     coordinator: Coordinator
     placement_client: PlacementClient
     admission: Admission
+    crash_monitor: CrashMonitor
     forwarder: Forwarder
     frontend: HttpFrontend
     metrics: GatewayMetrics
@@ -178,7 +183,24 @@
         coordinator=coordinator, placement_client=placement_client
     )
     metrics = GatewayMetrics()
-    crash_monitor = CrashMonitor(metrics=metrics, clock=clock)
+    crash_correlation = CrashCorrelation(
+        source=f"{membership.name}:{membership.incarnation}"
+    )
+    crash_exchange = CrashExchange(
+        correlation=crash_correlation,
+        membership=membership,
+        send=coordination_protocol.send,
+        clock=clock,
+        rng=rng,
+    )
+    coordination_protocol.on_crash_news = crash_exchange.merge
+    crash_monitor = CrashMonitor(
+        correlation=crash_correlation,
+        exchange=crash_exchange,
+        membership=membership,
+        metrics=metrics,
+        clock=clock,
+    )
     forwarder = Forwarder(
         endpoint_registry=endpoint_registry,
         placement_client=placement_client,
@@ -206,7 +228,11 @@
     )
     store_watcher.reads_store = store_follower.reads_store
     gossip = Gossip(
-        membership=membership, store_watcher=store_watcher, clock=clock, rng=rng
+        membership=membership,
+        store_watcher=store_watcher,
+        crash_exchange=crash_exchange,
+        clock=clock,
+        rng=rng,
     )
     return Components(
         settings,
@@ -222,6 +248,7 @@
         coordinator,
         placement_client,
         admission,
+        crash_monitor,
         forwarder,
         frontend,
         metrics,
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -134,7 +134,7 @@
     placement_client : PlacementClient
         Chooses the endpoint of each attempt.
     crash_monitor : CrashMonitor
-        Is told how the attempts fare.
+        Refuses jobs that would crash endpoints, and is told how the attempts fare.
     membership : Membership
         Gives the number of gateways that share the slack of the retry budgets.
     bounds : Bounds
@@ -216,6 +216,9 @@
     async def _place(self, job: Job, splitter: EventStreamSplitter | None) -> Placement:
         """Place a job; a refusal is passed on only if no attempt may have run.
 
+        It is refused if requests like it crash endpoints, also where that became known
+        while it waited for its placement.
+
         Otherwise the refusal would wrongly state that the request has not run, so
         another error replaces it.
 
@@ -227,11 +230,20 @@
             When no endpoint is available and the stream has started.
         OutcomeUnknownError
             When no endpoint is available and an attempt may have run; status 502.
+
+        A suspended job counts as one without an available endpoint.
         """
         if splitter is not None and splitter.started:
             job.interrupted_s = self._clock()
         try:
-            return await self._placement_client.place(job)
+            self._crash_monitor.check(job)
+            placement = await self._placement_client.place(job)
+            try:
+                self._crash_monitor.check(job)
+            except RefusedError:
+                self._release(placement)
+                raise
+            return placement
         except RefusedError:
             if splitter is not None and splitter.started:
                 raise BrokenStreamError("no endpoint to resume the stream at") from None
@@ -241,6 +253,12 @@
                 ) from None
             raise
 
+    def _release(self, placement: Placement) -> None:
+        """Give back a placement that is not used."""
+        now_s = self._clock()
+        placement.load.record_end(placement.due_s, started=False, now_s=now_s)
+        self._placement_client.record_end(placement, success=False)
+
     def _record_attempt_failure(
         self, job: Job, placement: Placement, outcome: str, cause: object
     ) -> None:
--- a/src/shallotroad/gateway/gossip.py
+++ b/src/shallotroad/gateway/gossip.py
@@ -1,8 +1,8 @@
 """Periodic exchange of membership and store documents between gateways.
 
-Each round posts the known members and store revision to a random member, and to a seed
-while some seed is not a known member, and merges the responses. A gateway that can't
-read the store fetches newer documents from the peer.
+Each round posts the known members, store revision and crash facts to a random member,
+and to a seed while some seed is not a known member, and merges the responses. A gateway
+that can't read the store fetches newer documents from the peer.
 """
 
 from __future__ import annotations
@@ -28,6 +28,7 @@
     from collections.abc import Callable
     from random import Random
 
+    from shallotroad.gateway.crash_exchange import CrashExchange
     from shallotroad.gateway.membership import Membership
     from shallotroad.gateway.store_watcher import StoreWatcher
     from shallotroad.http_server.connection import ServerRequest
@@ -47,8 +48,9 @@
 def encode_state(state: dict[str, Any]) -> bytes:
     """Return a gateway's state as compressed JSON.
 
-    Its keys are ``members``, the rows of ``Membership.snapshot``, and ``revision``, the
-    newest store revision that the gateway knows.
+    Its keys are ``members``, the rows of ``Membership.snapshot``, ``revision``, the
+    newest store revision that the gateway knows, and ``crashes``, the rows of
+    ``CrashExchange.rows``, which gateways of earlier versions do not send.
     """
     return zlib.compress(orjson.dumps(state), COMPRESSION_LEVEL)
 
@@ -81,7 +83,7 @@
 
 
 class Gossip:
-    """Exchanges members and store revisions with other gateways in rounds.
+    """Exchanges members, store revisions and crash facts with other gateways in rounds.
 
     A round contacts ``FAN_OUT`` random members, and one seed while some seed is not a
     known member.
@@ -92,11 +94,13 @@
         *,
         membership: Membership,
         store_watcher: StoreWatcher,
+        crash_exchange: CrashExchange,
         clock: Callable[[], float],
         rng: Random,
     ) -> None:
         self._membership = membership
         self._store_watcher = store_watcher
+        self._crash_exchange = crash_exchange
         self._clock = clock
         self._rng = rng
 
@@ -105,6 +109,7 @@
             {
                 "members": self._membership.snapshot(),
                 "revision": self._store_watcher.known_revision,
+                "crashes": self._crash_exchange.rows(),
             }
         )
 
@@ -123,6 +128,7 @@
         for name in self._membership.merge(state["members"], now_s):
             log_event("peer found", peer=name)
         self._store_watcher.observe_peer_revision(state["revision"])
+        self._crash_exchange.merge(state.get("crashes"))
         return state
 
     async def handle(self, request: ServerRequest) -> Response:
--- a/src/shallotroad/gateway/job.py
+++ b/src/shallotroad/gateway/job.py
@@ -50,7 +50,9 @@
     All times are monotonic, in seconds. ``attempts`` lists the endpoints that
     were tried, ``placement_inputs`` the figures behind each choice, for the log.
     ``possible_runs`` counts the attempts that may have run. ``interrupted_s`` is when
-    a stream that has started was last interrupted; None before.
+    a stream that has started was last interrupted; None before. ``trial_attempt`` is
+    the number of attempts before the one that is a trial of a suspended request; None
+    without a trial.
 
     A job lasts until the request has its response. Whenever it needs an endpoint, a
     ``PlacementRequest`` is made from it, which has only what the choice of an endpoint
@@ -111,6 +113,7 @@
         self.attempts: list[str] = []
         self.placement_inputs: list[dict[str, object]] = []
         self.possible_runs = 0
+        self.trial_attempt: int | None = None
         self.interrupted_s: float | None = None
         self.waited_ms = 0.0
 
--- a/src/shallotroad/gateway/metrics.py
+++ b/src/shallotroad/gateway/metrics.py
@@ -51,6 +51,9 @@
     endpoint_losses : Counter
         Endpoints that ended connections with requests in flight, by ``cause``: "crash",
         "leaving" (it was draining) or "reset" (it still accepts connections).
+    suspensions : Counter
+        Suspensions of requests that crash endpoints, by ``event``: "begun", "lifted",
+        "trial" (a request was let through) or "refused" (a request was not sent).
     first_event_s : Histogram
         Time from the arrival of a request to the head of its stream, by ``kind``.
     request_s : Histogram
@@ -80,6 +83,11 @@
             "Endpoints that ended connections with requests in flight, by cause",
             registry=self.registry,
         )
+        self.suspensions = Counter(
+            "shallotroad_suspensions_total",
+            "Suspensions of requests that crash endpoints, by event",
+            registry=self.registry,
+        )
         self.first_event_s = Histogram(
             "shallotroad_first_event_seconds",
             "Time to the first event of streams",
--- /dev/null
+++ b/src/shallotroad/policy/crash_correlation.py
@@ -0,0 +1,455 @@
+"""Finds what the requests that crash endpoints have in common.
+
+When an endpoint crashes, any of the requests that it had not yet begun to answer may be
+the cause. Each has some keys: the shared parts of its prompt, and a fingerprint of the
+whole request. A key that crashes endpoints has such a request in every crash, and no
+request with it is ever answered; a sound key is soon proven by an answer. A request is
+suspended once crashes at enough different moments have a key of it and nothing else
+explains them.
+
+Facts are shared by all gateways. They may arrive in any order and more than once.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+FACT_TTL_S = 600.0
+MAX_LOST_REQUESTS = 512
+MAX_PROOFS = 1_024
+MAX_TRIALS = 64
+MAX_RECENT_PROOFS = 4_096
+MAX_KEYS = 16
+MAX_TEXT_LENGTH = 160
+MAX_VERDICTS = 8
+# Crashes within this time have one cause, such as the power loss of a data centre.
+MOMENT_S = 0.2
+# Crash moments after which requests with a key are suspended. A key with an answer less
+# than PROVEN_BEFORE_S before its first crash needs more, because most such keys are
+# sound.
+MIN_CRASHES = 3
+MIN_CRASHES_IF_PROVEN = 5
+PROVEN_BEFORE_S = 60.0
+# Requests that are let through while their key is suspended, to find out whether it
+# still crashes endpoints. The time before the first is doubled for each further one.
+MAX_TRIALS_OF_A_KEY = 3
+FIRST_TRIAL_DELAY_S = 10.0
+FINGERPRINT_PREFIX = "request:"
+
+
+class Incarnation(NamedTuple):
+    """One run of an endpoint's process.
+
+    ``started_at_ms`` is the Unix time of its start; 0 when it is not stated.
+    """
+
+    endpoint: str
+    started_at_ms: int
+
+
+class LostRequest(NamedTuple):
+    """A request that was lost in a crash before it had proven itself.
+
+    ``source`` identifies the fact; ``at_s`` is the monotonic time of the loss.
+    """
+
+    source: str
+    endpoint: Incarnation
+    keys: tuple[str, ...]
+    at_s: float
+
+
+class Proof(NamedTuple):
+    """A request with the key was answered at ``at_s``; earlier crashes do not count."""
+
+    source: str
+    key: str
+    at_s: float
+
+
+class Trial(NamedTuple):
+    """The latest trial of a suspended key; ``number`` counts them from 1."""
+
+    key: str
+    number: int
+    at_s: float
+
+
+Fact = LostRequest | Proof | Trial
+
+
+class Verdict(NamedTuple):
+    """Requests that have all of ``keys`` are suspended.
+
+    ``lead`` is the key with the most evidence, ``crashes`` the number of its crash
+    moments, and ``last_crash_s`` the monotonic time of the last one.
+    """
+
+    lead: str
+    keys: frozenset[str]
+    crashes: int
+    last_crash_s: float
+
+
+class OpenLoss(NamedTuple):
+    """A lost request with those of its keys that no later answer has proven."""
+
+    endpoint: Incarnation
+    moment: int
+    keys: frozenset[str]
+
+
+def encode_fact(fact: Fact, now_s: float) -> list[Any]:
+    """Return the row of a fact, with its age in milliseconds in place of its time."""
+    age_ms = round((now_s - fact.at_s) * 1000)
+    if isinstance(fact, LostRequest):
+        return ["lost", fact.source, age_ms, *fact.endpoint, list(fact.keys)]
+    if isinstance(fact, Proof):
+        return ["proof", fact.source, age_ms, fact.key]
+    return ["trial", fact.key, age_ms, fact.number]
+
+
+def decode_fact(row: Any, now_s: float) -> Fact | None:
+    """Return the fact of a row; None if it is malformed, too old or of another kind."""
+    try:
+        kind, name, age_ms, *fields = row
+        age_s = float(age_ms) / 1000
+        if not (-MOMENT_S <= age_s < FACT_TTL_S and _is_text(name)):
+            return None
+        at_s = now_s - max(0.0, age_s)
+        if kind == "lost":
+            endpoint, started_at_ms, keys = fields
+            if not (_is_text(endpoint) and isinstance(keys, list)):
+                return None
+            if not (0 < len(keys) <= MAX_KEYS and all(map(_is_text, keys))):
+                return None
+            incarnation = Incarnation(endpoint, int(started_at_ms))
+            return LostRequest(name, incarnation, tuple(keys), at_s)
+        if kind == "proof":
+            (key,) = fields
+            return Proof(name, key, at_s) if _is_text(key) else None
+        if kind == "trial":
+            (number,) = fields
+            return Trial(name, min(MAX_TRIALS_OF_A_KEY, int(number)), at_s)
+    except (OverflowError, TypeError, ValueError):
+        return None
+    return None
+
+
+def _is_text(value: Any) -> bool:
+    return isinstance(value, str) and 0 < len(value) <= MAX_TEXT_LENGTH
+
+
+def is_fingerprint(key: str) -> bool:
+    """Return whether a key stands for a whole request."""
+    return key.startswith(FINGERPRINT_PREFIX)
+
+
+class CrashCorrelation:
+    """What a gateway knows of crashes, and the requests that are suspended for them.
+
+    Parameters
+    ----------
+    source : str
+        Identifies this process in the facts that it makes.
+    """
+
+    def __init__(self, *, source: str) -> None:
+        self._source = source
+        self._fact_count = 0
+        self._lost: dict[str, LostRequest] = {}
+        # May still have keys of losses that were dropped for others.
+        self._lost_keys: set[str] = set()
+        self._proofs: dict[str, Proof] = {}
+        self._trials: dict[str, Trial] = {}
+        self._recent_proofs: dict[str, float] = {}
+        self._verdicts: list[Verdict] = []
+        self._stale = False
+
+    def _next_source(self) -> str:
+        self._fact_count += 1
+        return f"{self._source}:{self._fact_count}"
+
+    @property
+    def has_losses(self) -> bool:
+        """Whether any lost request is known."""
+        return bool(self._lost)
+
+    def facts(self, limit: int, now_s: float) -> list[Fact]:
+        """Return known facts, first those that verdicts rest on, then the newest."""
+        suspended = [verdict.keys for verdict in self.verdicts(now_s)]
+
+        def rank(fact: Fact) -> tuple[bool, float]:
+            keys = fact.keys if isinstance(fact, LostRequest) else (fact.key,)
+            decisive = isinstance(fact, Trial) or any(
+                keys_of_verdict <= set(keys) for keys_of_verdict in suspended
+            )
+            return decisive, fact.at_s
+
+        facts: list[Fact] = [*self._lost.values(), *self._proofs.values()]
+        facts += self._trials.values()
+        return sorted(facts, key=rank, reverse=True)[:limit]
+
+    def record_crash(
+        self, endpoint: Incarnation, requests: Iterable[tuple[str, ...]], now_s: float
+    ) -> list[Fact]:
+        """Record a crash with the keys of each request that it lost.
+
+        Returns the new facts, among them that some of the keys were proven before.
+        """
+        facts: list[Fact] = []
+        for keys in requests:
+            if keys:
+                lost = LostRequest(self._next_source(), endpoint, keys, now_s)
+                facts += self.apply(lost, now_s)
+        return facts
+
+    def record_answer(self, keys: Iterable[str], now_s: float) -> list[Fact]:
+        """Record that a request with these keys was answered; return the new facts."""
+        facts: list[Fact] = []
+        for key in keys:
+            if not is_fingerprint(key):
+                self._recent_proofs.pop(key, None)
+                self._recent_proofs[key] = now_s
+            if self._has_open_loss(key, now_s):
+                facts += self.apply(Proof(self._next_source(), key, now_s), now_s)
+        while len(self._recent_proofs) > MAX_RECENT_PROOFS:
+            del self._recent_proofs[next(iter(self._recent_proofs))]
+        return facts
+
+    def apply(self, fact: Fact, now_s: float) -> list[Fact]:
+        """Merge a fact; return what is new to this gateway, nothing if it is known."""
+        if now_s - fact.at_s > FACT_TTL_S:
+            return []
+        if isinstance(fact, LostRequest):
+            if fact.source in self._lost:
+                return []
+            self._lost[fact.source] = fact
+            self._lost_keys.update(fact.keys)
+            _drop_oldest(self._lost, MAX_LOST_REQUESTS)
+            self._stale = True
+            return [fact, *self._earlier_proofs(fact)]
+        if isinstance(fact, Proof):
+            return self._apply_proof(fact)
+        known = self._trials.get(fact.key)
+        if known is not None and known.number >= fact.number:
+            return []
+        self._trials[fact.key] = fact
+        _drop_oldest(self._trials, MAX_TRIALS)
+        return [fact]
+
+    def _apply_proof(self, proof: Proof) -> list[Fact]:
+        """Merge a proof if it is the first of its key or clears a further loss.
+
+        Others are not news. Ages grow a little with each gateway that passes a fact on,
+        so the latest of two proofs would change for ever.
+        """
+        known = self._proofs.get(proof.key)
+        if known is not None:
+            if known.source == proof.source or known.at_s >= proof.at_s:
+                return []
+            if not self._has_open_loss(proof.key, proof.at_s):
+                return []
+        self._proofs[proof.key] = proof
+        _drop_oldest(self._proofs, MAX_PROOFS)
+        self._stale = True
+        return [proof]
+
+    def _earlier_proofs(self, lost: LostRequest) -> list[Fact]:
+        """Return proofs from before a loss that other gateways may not know."""
+        facts: list[Fact] = []
+        for key in lost.keys:
+            proven_s = self._recent_proofs.get(key)
+            if proven_s is not None and key not in self._proofs:
+                facts += self._apply_proof(Proof(self._next_source(), key, proven_s))
+        return facts
+
+    def _has_open_loss(self, key: str, at_s: float) -> bool:
+        """Return whether an answer at ``at_s`` would clear a loss of the key."""
+        if key not in self._lost_keys:
+            return False
+        known = self._proofs.get(key)
+        after_s = known.at_s if known is not None else -math.inf
+        return any(
+            key in lost.keys and after_s < lost.at_s <= at_s
+            for lost in self._lost.values()
+        )
+
+    def verdicts(self, now_s: float) -> list[Verdict]:
+        """Return the verdicts that hold now."""
+        if not self._lost:
+            self._verdicts = []
+            return self._verdicts
+        oldest = next(iter(self._lost.values()))
+        if now_s - oldest.at_s > FACT_TTL_S:
+            self._expire(now_s)
+        if self._stale:
+            self._stale = False
+            self._verdicts = self._find_verdicts()
+        return self._verdicts
+
+    def _expire(self, now_s: float) -> None:
+        def is_live(fact: Fact) -> bool:
+            return now_s - fact.at_s <= FACT_TTL_S
+
+        self._lost = {k: fact for k, fact in self._lost.items() if is_live(fact)}
+        self._lost_keys = {key for lost in self._lost.values() for key in lost.keys}
+        self._proofs = {k: fact for k, fact in self._proofs.items() if is_live(fact)}
+        self._trials = {k: fact for k, fact in self._trials.items() if is_live(fact)}
+        self._stale = True
+
+    def next_trial_s(self, verdict: Verdict) -> float:
+        """Return when a request may be let through; infinity after the last trial."""
+        trial = self._trials.get(verdict.lead)
+        count = trial.number if trial is not None else 0
+        if count >= MAX_TRIALS_OF_A_KEY:
+            return math.inf
+        last_s = max(verdict.last_crash_s, trial.at_s if trial is not None else 0.0)
+        return last_s + FIRST_TRIAL_DELAY_S * float(2**count)
+
+    def begin_trial(self, verdict: Verdict, now_s: float) -> list[Fact]:
+        """Count a trial; return the new fact."""
+        trial = self._trials.get(verdict.lead)
+        count = trial.number if trial is not None else 0
+        return self.apply(Trial(verdict.lead, count + 1, now_s), now_s)
+
+    # Search for the keys that explain the crashes
+
+    def _find_verdicts(self) -> list[Verdict]:
+        """Return the keys that explain the crashes, those with most evidence first.
+
+        The crashes that a key explains are not counted for the others.
+        """
+        crash_times_s: dict[Incarnation, float] = {}
+        for lost in self._lost.values():
+            known_s = crash_times_s.get(lost.endpoint, math.inf)
+            crash_times_s[lost.endpoint] = min(known_s, lost.at_s)
+        moments = _moments(crash_times_s)
+        first_loss_s: dict[str, float] = {}
+        losses: list[OpenLoss] = []
+        for lost in self._lost.values():
+            for key in lost.keys:
+                first_s = first_loss_s.get(key, math.inf)
+                first_loss_s[key] = min(first_s, lost.at_s)
+            keys = frozenset(
+                key for key in lost.keys if not self._is_cleared(lost, key)
+            )
+            losses.append(OpenLoss(lost.endpoint, moments[lost.endpoint], keys))
+        proven = {
+            key
+            for key, first_s in first_loss_s.items()
+            if key in self._proofs
+            and self._proofs[key].at_s >= first_s - PROVEN_BEFORE_S
+        }
+        verdicts: list[Verdict] = []
+        while len(verdicts) < MAX_VERDICTS:
+            found = _strongest(losses, proven)
+            if found is None:
+                break
+            lead, keys = found
+            explained = {loss.endpoint for loss in losses if keys <= loss.keys}
+            verdicts.append(
+                Verdict(
+                    lead=lead,
+                    keys=keys,
+                    crashes=len({moments[endpoint] for endpoint in explained}),
+                    last_crash_s=max(crash_times_s[endpoint] for endpoint in explained),
+                )
+            )
+            losses = [loss for loss in losses if loss.endpoint not in explained]
+        return verdicts
+
+    def _is_cleared(self, lost: LostRequest, key: str) -> bool:
+        proof = self._proofs.get(key)
+        return proof is not None and proof.at_s >= lost.at_s
+
+
+def _drop_oldest(items: dict[str, Any], limit: int) -> None:
+    while len(items) > limit:
+        del items[next(iter(items))]
+
+
+def _moments(crash_times_s: Mapping[Incarnation, float]) -> dict[Incarnation, int]:
+    """Return a number for each crash, the same for those within ``MOMENT_S``."""
+    moments: dict[Incarnation, int] = {}
+    first_s = -math.inf
+    number = -1
+    for endpoint, at_s in sorted(crash_times_s.items(), key=lambda item: item[1]):
+        if at_s - first_s > MOMENT_S:
+            first_s = at_s
+            number += 1
+        moments[endpoint] = number
+    return moments
+
+
+def _strongest(
+    losses: list[OpenLoss], proven: set[str]
+) -> tuple[str, frozenset[str]] | None:
+    """Return the key with the most evidence and all keys of its verdict, if any."""
+    losses_of: dict[str, set[int]] = defaultdict(set)
+    moments_of: dict[str, set[int]] = defaultdict(set)
+    for number, loss in enumerate(losses):
+        for key in loss.keys:
+            losses_of[key].add(number)
+            moments_of[key].add(loss.moment)
+    candidates = [
+        key
+        for key, moments in moments_of.items()
+        if len(moments) >= (MIN_CRASHES_IF_PROVEN if key in proven else MIN_CRASHES)
+    ]
+    if not candidates:
+        return None
+    lead = max(
+        candidates,
+        key=lambda key: (
+            key not in proven,
+            len(moments_of[key]),
+            not is_fingerprint(key),
+            len(losses_of[key]),
+            key,
+        ),
+    )
+    # A key that only occurs together with the lead explains the lead's crashes as well,
+    # and suspends fewer requests.
+    while narrower := [
+        key
+        for key in candidates
+        if losses_of[key] < losses_of[lead] and not is_fingerprint(key)
+    ]:
+        lead = max(narrower, key=lambda key: (len(moments_of[key]), key))
+    shared = [losses[number] for number in losses_of[lead]]
+    return lead, _with_companions(lead, shared, proven)
+
+
+def _with_companions(
+    lead: str, losses: list[OpenLoss], proven: set[str]
+) -> frozenset[str]:
+    """Return the lead with the keys that its lost requests have in common.
+
+    As long as no crash shows that the lead alone is enough, only requests with all of
+    these are suspended. One crash without a prompt part does not yet rule it out. The
+    fingerprint is one of these if all crashes were of the same request.
+    """
+    crashes = len({loss.moment for loss in losses})
+    counts: dict[str, int] = {}
+    for key in set().union(*(loss.keys for loss in losses)) - {lead}:
+        if key in proven and lead not in proven:
+            continue
+        if is_fingerprint(key) and any(key not in loss.keys for loss in losses):
+            continue
+        counts[key] = len({loss.moment for loss in losses if key in loss.keys})
+    keys = frozenset({lead})
+    for key in sorted(counts, key=lambda key: (-counts[key], key)):
+        together = {loss.moment for loss in losses if keys | {key} <= loss.keys}
+        if len(together) >= max(2, crashes - 1):
+            keys |= {key}
+    return keys
--- a/tests/processes/test_part_that_crashes_engines.py
+++ b/tests/processes/test_part_that_crashes_engines.py
@@ -80,9 +80,14 @@
     await asyncio.sleep(CONTACT_S)
     before = count_arrivals(harness)
     sound: list[Response] = []
+    refused: list[Response] = []
     for late in range(100, 124):
-        await send(harness, late, f"shared:300,deadly:50,own{late}:90")
+        response = await send(harness, late, f"shared:300,deadly:50,own{late}:90")
+        if response.status == 503:
+            refused.append(response)
         sound.append(await send(harness, late + 100, f"shared:300,own{late}:90"))
     assert count_arrivals(harness) - before <= MAX_LATE_ARRIVALS
+    assert len(refused) >= 24 - MAX_LATE_ARRIVALS
+    assert all(float(response.headers["Retry-After"]) > 0 for response in refused)
     assert [response.status for response in sound] == [200] * len(sound)
     assert all(response.complete for response in sound)
--- a/tests/unit/gateway/coordination/test_messages.py
+++ b/tests/unit/gateway/coordination/test_messages.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from shallotroad.gateway.coordination.exceptions import MalformedMessageError
+from shallotroad.gateway.coordination.messages import CrashNews
 from shallotroad.gateway.coordination.messages import Decline
 from shallotroad.gateway.coordination.messages import Ended
 from shallotroad.gateway.coordination.messages import Grant
@@ -34,6 +35,7 @@
         Ended(SENDER, 3, False, 0.5),
         Report(SENDER, (InFlightRequest(1, "e1", 2.0, 0, True, 1.25),), (7, 8)),
         Refuse(3, "no room in time", 1.5),
+        CrashNews([["proof", "g1:5:1", 40, "part"]]),
     ],
 )
 def test_decode_reverses_encode(message: Message) -> None:
@@ -59,7 +61,14 @@
 
 @pytest.mark.parametrize(
     "data",
-    [b"[]", b'["ask"]', b'["ask",["a",1],1,[]]', b'["grant",1]', b'["x",["a",1]]'],
+    [
+        b"[]",
+        b'["ask"]',
+        b'["ask",["a",1],1,[]]',
+        b'["grant",1]',
+        b'["x",["a",1]]',
+        b'["crash",3]',
+    ],
 )
 def test_incomplete_messages_are_rejected(data: bytes) -> None:
     with pytest.raises(MalformedMessageError):
--- a/tests/unit/gateway/test_crash_monitor.py
+++ b/tests/unit/gateway/test_crash_monitor.py
@@ -7,8 +7,7 @@
 import pytest
 
 from shallotroad.gateway.crash_monitor import CONFIRMATION_DELAY_S
-from shallotroad.gateway.crash_monitor import CrashMonitor
-from shallotroad.gateway.metrics import GatewayMetrics
+from tests.crash_builders import make_crash_fixture
 from tests.gateway_builders import make_gateway_job
 from tests.gateway_builders import make_record
 
@@ -24,12 +23,9 @@
         assert (host, port) == ("127.0.0.1", 9000)
         return accepts
 
-    metrics = GatewayMetrics()
-    monitor = CrashMonitor(
-        metrics=metrics, clock=asyncio.get_running_loop().time, accepts=answer
-    )
+    fixture = make_crash_fixture(accepts=answer)
     record = make_record(draining=draining)
     for _ in range(3):
-        monitor.watch(make_gateway_job(), record).record_connection_lost()
+        fixture.monitor.watch(make_gateway_job(), record).record_connection_lost()
     await asyncio.sleep(2 * CONFIRMATION_DELAY_S)
-    assert metrics.endpoint_losses.get({"cause": cause}) == 1
+    assert fixture.metrics.endpoint_losses.get({"cause": cause}) == 1
