--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -33,6 +33,8 @@
     from collections.abc import Callable
 
     from shallotroad.gateway.coordination.placement_client import PlacementClient
+    from shallotroad.gateway.crash_monitor import AttemptWatch
+    from shallotroad.gateway.crash_monitor import CrashMonitor
     from shallotroad.gateway.endpoint_registry import EndpointRegistry
     from shallotroad.gateway.event_stream import EventStreamSplitter
     from shallotroad.gateway.job import Job
@@ -131,6 +133,8 @@
         Has the connection pools of the endpoints.
     placement_client : PlacementClient
         Chooses the endpoint of each attempt.
+    crash_monitor : CrashMonitor
+        Refuses jobs that would crash endpoints, and is told how the attempts fare.
     membership : Membership
         Gives the number of gateways that share the slack of the retry budgets.
     bounds : Bounds
@@ -147,6 +151,7 @@
         *,
         endpoint_registry: EndpointRegistry,
         placement_client: PlacementClient,
+        crash_monitor: CrashMonitor,
         membership: Membership,
         bounds: Bounds,
         metrics: GatewayMetrics,
@@ -155,6 +160,7 @@
     ) -> None:
         self._endpoint_registry = endpoint_registry
         self._placement_client = placement_client
+        self._crash_monitor = crash_monitor
         self._membership = membership
         self.bounds = bounds
         self._metrics = metrics
@@ -210,6 +216,9 @@
     async def _place(self, job: Job, splitter: EventStreamSplitter | None) -> Placement:
         """Place a job; a refusal is passed on only if no attempt may have run.
 
+        It is refused if requests like it crash endpoints, also where that became known
+        while it waited for its placement.
+
         Otherwise the refusal would wrongly state that the request has not run, so
         another error replaces it.
 
@@ -221,11 +230,20 @@
             When no endpoint is available and the stream has started.
         OutcomeUnknownError
             When no endpoint is available and an attempt may have run; status 502.
+
+        A suspended job counts as one without an available endpoint.
         """
         if splitter is not None and splitter.started:
             job.interrupted_s = self._clock()
         try:
-            return await self._placement_client.place(job)
+            self._crash_monitor.check(job)
+            placement = await self._placement_client.place(job)
+            try:
+                self._crash_monitor.check(job)
+            except RefusedError:
+                self._release(placement)
+                raise
+            return placement
         except RefusedError:
             if splitter is not None and splitter.started:
                 raise BrokenStreamError("no endpoint to resume the stream at") from None
@@ -235,6 +253,12 @@
                 ) from None
             raise
 
+    def _release(self, placement: Placement) -> None:
+        """Give back a placement that is not used."""
+        now_s = self._clock()
+        placement.load.record_end(placement.due_s, started=False, now_s=now_s)
+        self._placement_client.record_end(placement, success=False)
+
     def _record_attempt_failure(
         self, job: Job, placement: Placement, outcome: str, cause: object
     ) -> None:
@@ -361,6 +385,7 @@
         progress = AttemptProgress(
             placement=placement,
             placement_client=self._placement_client,
+            watch=self._crash_monitor.watch(job, load.record),
             clock=self._clock,
         )
         connection: EndpointConnection | None = None
@@ -395,11 +420,15 @@
             else:
                 progress.success = True
             self._metrics.attempts.inc({"end": "answered"})
+            if connection.usable:
+                progress.watch.record_complete()
             pool.release(connection)
             connection = None
             return response
         except (ConnectionLostError, MalformedResponseError) as error:
             progress.failure = 1.0
+            if isinstance(error, ConnectionLostError):
+                progress.watch.record_connection_lost()
             raise AttemptOutcomeUnknownError(str(error)) from error
         except TimeoutError:
             if not progress.started_s:
@@ -608,6 +637,8 @@
 
     Attributes
     ----------
+    watch : AttemptWatch
+        Reports it to the crash monitor.
     sent_s : float
         When the request was written to the connection, monotonic time in seconds;
         until then, when the attempt began.
@@ -626,8 +657,10 @@
         *,
         placement: Placement,
         placement_client: PlacementClient,
+        watch: AttemptWatch,
         clock: Callable[[], float],
     ) -> None:
+        self.watch = watch
         self._placement = placement
         self._placement_client = placement_client
         self._clock = clock
@@ -658,6 +691,8 @@
         self._placement_client.record_events(
             self._placement, events.count(EVENT_SEPARATOR)
         )
+        if self.started_s:
+            self.watch.record_events(self._clock() - self.started_s)
 
     def record_end(self, *, update_slowness: bool) -> None:
         """Record the outcome and the end of the attempt.
--- a/src/shallotroad/gateway/metrics.py
+++ b/src/shallotroad/gateway/metrics.py
@@ -51,6 +51,12 @@
         Requests whose connection ended without a response to them, by ``reason``.
     attempts : Counter
         Attempts by ``end``: "answered", "not run" or "unknown".
+    endpoint_losses : Counter
+        Endpoints that ended connections with requests in flight, by ``cause``: "crash",
+        "leaving" (it was draining) or "reset" (it still accepts connections).
+    suspensions : Counter
+        Suspensions of requests that crash endpoints, by ``event``: "begun", "lifted",
+        "trial" (a request was let through) or "refused" (a request was not sent).
     first_event_s : Histogram
         Time from the arrival of a request to the head of its stream, by ``kind``.
     request_s : Histogram
@@ -80,6 +86,16 @@
             "Attempts at endpoints by end",
             registry=self.registry,
         )
+        self.endpoint_losses = Counter(
+            "shallotroad_endpoint_losses_total",
+            "Endpoints that ended connections with requests in flight, by cause",
+            registry=self.registry,
+        )
+        self.suspensions = Counter(
+            "shallotroad_suspensions_total",
+            "Suspensions of requests that crash endpoints, by event",
+            registry=self.registry,
+        )
         self.first_event_s = Histogram(
             "shallotroad_first_event_seconds",
             "Time to the first event of streams",
