Take no response without an id for that of a later request

Callers saw: status 503, "not run, try again", for a request that an endpoint was running, or their request ran at a second endpoint (REFUSED, TWICE). Reported by other operators: a faulty endpoint writes an earlier refusal once more on a kept connection.

Cause: responses are matched by request id, but one without an id counted as that of the current request, and one with the id of an earlier request does too if a caller uses its id again. Class: a response taken for another one because nothing in it says otherwise.

Ruled out by tests that held before: copies with the id of an earlier request (any number of them, with interim responses, split at any byte), a copy in the same read as the first, one on an idle connection, also between the choice of the connection and the send, which has no await between. A retry of one request never meets the connection that refused it: an endpoint that was tried is excluded, and another identifier at the same address has connections of its own.

Change: without an id, a response is malformed on a connection that has carried an earlier request, so the outcome is unknown. A connection is not used for an id that it has carried among its last 16 requests. Endpoints echo the id, so sound ones lose nothing; a first response without an id is still taken, as nothing else can have been asked on that connection.

Further back than 16 requests, a copy for an id that a caller uses again is not recognised.

--- a/devtools/dependency_standins.py
+++ b/devtools/dependency_standins.py
@@ -23,6 +23,8 @@
 STALLED_BODY_BYTES = 100_000
 STALLED_BYTE_INTERVAL_S = 0.1
 EVENT_GAP_S = 0.05
+# Between a refusal that is sent once more and the response that it precedes.
+REFUSAL_LEAD_S = 0.05
 FILLER = b"x" * 65_536
 # The only service that the configuration describes as engines.
 ENGINE_SERVICE = "model"
@@ -147,6 +149,10 @@
         Status 503 with the statement that the request was not run.
     ``late``
         A response that is sent a second time 50 ms later.
+    ``refusal-again``, ``refusal-again-without-id``
+        The first request is refused. A later one on its connection runs and is
+        answered, but the refusal is sent once more before the response. It states the
+        id of the first request, or none.
     ``unsigned``
         A response without the signature of the endpoint.
     ``error``
@@ -173,6 +179,8 @@
         self.executed_ids: list[str] = []
         self._cached_prefixes: list[tuple[str, int]] = []
         self._cache_list = self._encode_cache_list()
+        self._refusals: dict[asyncio.StreamWriter, bytes] = {}
+        self.repeated_refusals = 0
         self.aborted_connections = 0
         self.filler_bytes = 0
         self.registered_port = 0
@@ -282,7 +290,19 @@
             extra = "X-Not-Executed: 1\r\nContent-Length: 0\r\n"
             writer.write(self._response_head(request, "503 Unavailable", extra))
             return True
+        if self.mode.startswith("refusal-again") and not self._refusals:
+            extra = "X-Not-Executed: 1\r\nContent-Length: 0\r\n"
+            refusal = self._response_head(request, "503 Unavailable", extra)
+            if self.mode.endswith("without-id"):
+                refusal = f"HTTP/1.1 503 Unavailable\r\n{extra}\r\n".encode()
+            self._refusals[writer] = refusal
+            writer.write(refusal)
+            return True
         self.executed_ids.append(request.request_id)
+        if writer in self._refusals:
+            writer.write(self._refusals[writer])
+            self.repeated_refusals += 1
+            await asyncio.sleep(REFUSAL_LEAD_S)
         if self.mode == "reset":
             return False
         if self.mode == "mute":
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -373,7 +373,9 @@
                 else NON_REPEATABLE_MAX_IDLE_S
             )
             try:
-                connection = await pool.acquire(max_idle_s=max_idle_s)
+                connection = await pool.acquire(
+                    max_idle_s=max_idle_s, request_id=job.request.request_id
+                )
                 await connection.send(
                     job.request.request_id,
                     self._encode_head(job, identifier, splitter),
--- a/src/shallotroad/upstream/connection.py
+++ b/src/shallotroad/upstream/connection.py
@@ -31,6 +31,9 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# Identifiers of earlier requests that a connection remembers. Late responses follow the
+# one that they repeat after a few others; kept connections are many, and this is 1 KB.
+MAX_EARLIER_IDS = 16
 
 
 class EndpointConnection(asyncio.Protocol):
@@ -39,8 +42,9 @@
     Call ``send``, ``head``, ``read`` until it returns nothing, then ``finish``, which
     ``ConnectionPool.release`` does for a connection of a pool.
     Responses are matched by request id, so a late second response to an earlier request
-    is skipped. Bytes that arrive while no request is in flight make the connection
-    unusable.
+    is skipped. One without an id may be a late one too, so it is malformed unless the
+    connection has carried no earlier request. Bytes that arrive while no request is in
+    flight make the connection unusable.
 
     Parameters
     ----------
@@ -52,6 +56,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._expected_id = ""
+        self._earlier_ids: deque[str] = deque(maxlen=MAX_EARLIER_IDS)
         self._in_flight = False
         self._skipping_response = False
         self._raw_headers: list[tuple[bytes, bytes]] = []
@@ -162,6 +167,9 @@
         if head.request_id and head.request_id != self._expected_id:
             self._skipping_response = True
             return
+        if self._expected_id and not head.request_id and self.request_count > 1:
+            self._fail(MalformedResponseError(f"status {status} without a request id"))
+            return
         bodiless = status in (204, 304)
         self._body_ends_at_close = (
             head.length is None and not head.chunked and not bodiless
@@ -206,6 +214,14 @@
         """Whether the head of the current response has arrived."""
         return self._head is not None
 
+    def carried_recently(self, request_id: str) -> bool:
+        """Return whether a request with this id was sent before on this connection.
+
+        A late response to it could not be told from the one to a second request with
+        the id. Only the last ``MAX_EARLIER_IDS`` requests are known; none without id.
+        """
+        return request_id in self._earlier_ids
+
     async def send(self, request_id: str, head: bytes, body: bytes) -> None:
         """Start sending a request; returns before the bytes are sent.
 
@@ -224,6 +240,8 @@
         if self._transport is None:
             raise ConnectError("the connection was closed before the request was sent")
         self._expected_id = request_id
+        if request_id:
+            self._earlier_ids.append(request_id)
         self._in_flight = True
         self._head = None
         self._complete = False
--- a/src/shallotroad/upstream/pool.py
+++ b/src/shallotroad/upstream/pool.py
@@ -34,7 +34,9 @@
         self._idle: list[EndpointConnection] = []
         self.opened_count = 0
 
-    async def acquire(self, *, max_idle_s: float) -> EndpointConnection:
+    async def acquire(
+        self, *, max_idle_s: float, request_id: str = ""
+    ) -> EndpointConnection:
         """Return an idle connection, or open one.
 
         Parameters
@@ -44,6 +46,9 @@
             of this, ``MAX_IDLE_S`` and ``IDLE_TIMEOUT_FRACTION`` of the endpoint's idle
             timeout applies. The caller passes less when a failed request must not be
             sent again.
+        request_id : str
+            Identifier of the request to send, if it has one. A connection that has
+            carried it before is closed instead of used.
 
         Raises
         ------
@@ -58,7 +63,11 @@
                 limit_s = min(
                     limit_s, IDLE_TIMEOUT_FRACTION * connection.idle_timeout_s
                 )
-            if connection.usable and now_s - connection.idle_since_s < limit_s:
+            if (
+                connection.usable
+                and now_s - connection.idle_since_s < limit_s
+                and not connection.carried_recently(request_id)
+            ):
                 return connection
             connection.close()
         self.opened_count += 1
