Count a stream that ends within an event as broken off, however it is framed

Reported by other operators: an endpoint stopped in the middle of its head and closed.

Cause: only a stream that ends with its connection was looked at for an event that is not complete; with a length or in chunks the rest was sent on and the stream finished. One that ended with its connection before any event was finished as well. Events with CRLF line ends were not recognised, so all of such a stream was held back until its end. Class: the end of the framing taken for the end of the content.

Evidence, on the code before: processes/test_untrue_responses.py, 15 of the 31 tests added here failed: streams that end within an event with a length or in chunks ("b'id: 1\ndata...\nid: 3\ndata' == b'id: 1\ndata...ata: q1-2\n\n'"), also where only the last blank line is missing; a head without length and chunks and then a close on a stream ("200 == 502"); CRLF in any framing. And the resumed stream that ends with the text of an error, with a length.

Ruled out by tests that held before: the report as it was told. A head that ends at a close or a reset, in the status line, in a header or right before the blank line, gives 502 on plain calls and streams. A body with neither length nor chunks is whole after a close and 502 after a reset (sent with SO_LINGER 0: uvloop reports no end of file then), also a reset right after the head; a reset after an event leaves a stream incomplete.

Change: a stream that ends within an event is broken off with any framing, as is one that ends with its connection before its first event, unless it was resumed and may have no more. Lines may end with CRLF if those of the first event do. The head of a response among such events is malformed, as it would end like one.

After: all of these tests pass. A plain response whose connection is closed in order after half of a body without a length can't be told from a whole one.

--- a/src/shallotroad/gateway/event_stream.py
+++ b/src/shallotroad/gateway/event_stream.py
@@ -1,6 +1,7 @@
 """Splits an event stream into complete events, so that it can be resumed.
 
-An interrupted stream resumes at another endpoint after the last complete event.
+An interrupted stream resumes at another endpoint after the last complete event. Lines
+end with LF or with CRLF, as those of the first event do.
 """
 
 from __future__ import annotations
@@ -9,6 +10,9 @@
 
 
 EVENT_SEPARATOR = b"\n\n"
+CRLF_EVENT_SEPARATOR = b"\r\n\r\n"
+# A line that no event has, and with which an endpoint that fails may begin an error.
+HEAD_LINE = b"\r\nHTTP/1."
 ID_FIELD = b"id:"
 MAX_EVENT_BYTES = 1_048_576
 
@@ -26,6 +30,7 @@
         self.last_event_id = ""
         self.started = False
         self._awaits_continuation = False
+        self._separator = b""
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the events that are complete now.
@@ -33,11 +38,13 @@
         Raises
         ------
         MalformedResponseError
-            When an event exceeds ``MAX_EVENT_BYTES``, or the first event of a resumed
-            stream does not follow the last one.
+            When an event exceeds ``MAX_EVENT_BYTES``, the first event of a resumed
+            stream does not follow the last one, or the head of a response is among the
+            events.
         """
         data = self._partial + data
-        end = data.rfind(EVENT_SEPARATOR)
+        separator = self._separator = self._separator or _first_separator(data)
+        end = data.rfind(separator) if separator else -1
         if end < 0:
             if len(data) > MAX_EVENT_BYTES:
                 raise MalformedResponseError(
@@ -45,13 +52,19 @@
                 )
             self._partial = data
             return b""
-        complete = data[: end + len(EVENT_SEPARATOR)]
-        self._partial = data[end + len(EVENT_SEPARATOR) :]
+        complete = data[: end + len(separator)]
+        if separator == CRLF_EVENT_SEPARATOR and HEAD_LINE in b"\r\n" + complete:
+            raise MalformedResponseError("the head of a response within a stream")
+        self._partial = data[end + len(separator) :]
         if self._awaits_continuation:
             self._check_continuation(complete)
         self._record_last_event_id(complete)
         return complete
 
+    def count_events(self, complete: bytes) -> int:
+        """Return the number of events in what ``feed`` has returned."""
+        return complete.count(self._separator)
+
     def _check_continuation(self, complete: bytes) -> None:
         """Compare the first event of a resumed stream with the last one before it.
 
@@ -63,7 +76,7 @@
         MalformedResponseError
             When the event has no identifier, or not one that may follow.
         """
-        for event in complete.split(EVENT_SEPARATOR):
+        for event in complete.split(self._separator):
             if all(line[:1] in (b"", b":") for line in event.splitlines()):
                 continue
             event_id = _last_id(event)
@@ -84,20 +97,32 @@
 
     @property
     def within_event(self) -> bool:
-        """Whether the bytes received so far end within an event."""
-        return bool(self._partial)
+        """Whether the bytes received so far end within an event.
+
+        They do as well if only the empty line after it is missing.
+        """
+        return bool(self._partial.strip(b"\r\n"))
 
     def discard_partial(self) -> None:
         """Drop an incomplete event before another endpoint resumes the stream."""
         self._partial = b""
         self._awaits_continuation = bool(self.last_event_id)
+        self._separator = b""
 
     def flush(self) -> bytes:
-        """Return the bytes after the last complete event of a finished stream."""
+        """Return the line ends after the last event of a finished stream."""
         rest, self._partial = self._partial, b""
         return rest
 
 
+def _first_separator(data: bytes) -> bytes:
+    """Return the separator after the first event; empty if it is not complete."""
+    crlf, lf = data.find(CRLF_EVENT_SEPARATOR), data.find(EVENT_SEPARATOR)
+    if crlf >= 0 and not 0 <= lf < crlf:
+        return CRLF_EVENT_SEPARATOR
+    return EVENT_SEPARATOR if lf >= 0 else b""
+
+
 def _last_id(events: bytes) -> str:
     """Return the last identifier in complete events; empty if they have none."""
     start = events.rfind(ID_FIELD)
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -15,7 +15,6 @@
 from typing import Protocol
 
 from shallotroad.catalog.configuration import RouteKind
-from shallotroad.gateway.event_stream import EVENT_SEPARATOR
 from shallotroad.gateway.exceptions import BrokenStreamError
 from shallotroad.gateway.exceptions import OutcomeUnknownError
 from shallotroad.gateway.exceptions import RefusedError
@@ -566,13 +565,14 @@
         The first of them extends ``timeout`` until ``RESPONSE_GRACE_S`` after the job's
         end. ``sink`` gets the head before the first event of the job, or at the end of
         a stream without events, and none when another endpoint resumes the stream.
-        Bytes after the last complete event are written only at the end.
+        Line ends after the last event are written only at the end.
 
         Raises
         ------
         ConnectionLostError
-            When the response does not have the announced length, or the connection
-            ends within an event and so may have been cut off.
+            When the response does not have the announced length, ends within an event,
+            or ends with its connection before the first one, and so may have been cut
+            off. One that was resumed may have no more events.
         ConnectionLostError, MalformedResponseError
             When the connection fails before the response is complete, an event is too
             large, or the events don't follow those of the stream that is resumed.
@@ -583,7 +583,7 @@
             events = splitter.feed(chunk)
             if not events:
                 continue
-            progress.record_events(events)
+            progress.record_events(splitter.count_events(events))
             if not progress.started_s:
                 progress.record_first_event()
                 remaining_s = job.end_s + RESPONSE_GRACE_S - self._clock()
@@ -596,8 +596,14 @@
             raise ConnectionLostError(
                 "response stream does not have the announced length"
             )
-        if splitter.within_event and head.length is None and not head.chunked:
-            raise ConnectionLostError("the connection ended within an event")
+        if splitter.within_event:
+            raise ConnectionLostError("the stream ended within an event")
+        ends_with_connection = head.length is None and not head.chunked
+        resumed = splitter.started or (
+            job.route.resumable and job.request.last_event_id
+        )
+        if ends_with_connection and not resumed:
+            raise ConnectionLostError("the connection ended before the first event")
         rest = splitter.flush()
         if not splitter.started:
             splitter.started = True
@@ -657,11 +663,9 @@
                 self._placement, self._first_event_ms
             )
 
-    def record_events(self, events: bytes) -> None:
+    def record_events(self, count: int) -> None:
         """Record complete events that have arrived together."""
-        self._placement_client.record_events(
-            self._placement, events.count(EVENT_SEPARATOR)
-        )
+        self._placement_client.record_events(self._placement, count)
 
     def record_end(self, *, update_slowness: bool) -> None:
         """Record the outcome and the end of the attempt.
--- a/tests/processes/test_untrue_responses.py
+++ b/tests/processes/test_untrue_responses.py
@@ -141,6 +141,7 @@
         pytest.param(
             OK_HEAD.replace(b"200 OK", b"204 No Content") + b"\r\n", id="no-content"
         ),
+        pytest.param(with_length(STREAM_HEAD, b"the engine failed"), id="error-text"),
         pytest.param(with_length(STREAM_HEAD, ERROR_TEXT), id="error-text-with-blanks"),
         pytest.param(
             with_length(STREAM_HEAD, b"event: error\ndata: failed\n\n"),
@@ -201,3 +202,127 @@
     response = await harness.send_request("/notes/1", "q1", body=b"hello")
     assert response.body == b"data: a\n\n"
     assert not response.complete
+
+
+CUT_HEADS = [
+    b"",
+    b"HTTP/1.1 20",
+    b"HTTP/1.1 200 OK\r\n",
+    OK_HEAD[:-2],
+    OK_HEAD,
+    OK_HEAD + b"\r",
+    OK_HEAD + b"Content-Le",
+    OK_HEAD + b"Content-Length: 1",
+    STREAM_HEAD,
+    STREAM_HEAD + b"Transfer-Encoding: chunked\r\n",
+]
+CUT_STREAMS = {
+    "within-event": make_events(1, 3)[:-8],
+    "last-blank-line-missing": make_events(1, 3)[:-1],
+    "within-event-crlf": make_events(1, 3).replace(b"\n", b"\r\n")[:-8],
+    "last-blank-line-missing-crlf": make_events(1, 3).replace(b"\n", b"\r\n")[:-2],
+    "last-line-end-missing-crlf": make_events(1, 3).replace(b"\n", b"\r\n")[:-1],
+}
+
+
+def frame(body: bytes, framing: str) -> bytes:
+    """Return a stream response with a length, in one chunk or with neither."""
+    if framing == "length":
+        return with_length(STREAM_HEAD, body)
+    if framing == "chunked":
+        head = STREAM_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        return head + b"%x\r\n" % len(body) + body + b"\r\n0\r\n\r\n"
+    return STREAM_HEAD + b"\r\n" + body
+
+
+async def send_to_scripted_endpoint(
+    harness: GatewayHarness, path: str, script: bytes, script_end: str
+) -> Response:
+    """Return the response to a request that one endpoint answers with a script."""
+    service = "shop" if path == "/book/1" else "model"
+    endpoint = await harness.add_endpoint("m2", service, "scripted")
+    endpoint.script, endpoint.script_end = script, script_end
+    await harness.start()
+    return await harness.send_request(path, "q1", body=b"hello")
+
+
+@pytest.mark.parametrize("script_end", ["close", "reset"])
+@pytest.mark.parametrize("path", ["/book/1", "/chat/1"])
+async def test_a_head_that_is_cut_short_is_no_response(
+    harness: GatewayHarness, path: str, script_end: str
+) -> None:
+    """Guards against a status 200 with an empty body for half of a head."""
+    service = "shop" if path == "/book/1" else "model"
+    endpoint = await harness.add_endpoint("m2", service, "scripted")
+    endpoint.script_end = script_end
+    await harness.start()
+    for number, endpoint.script in enumerate(CUT_HEADS):
+        response = await harness.send_request(path, f"q{number}", body=b"hello")
+        assert response.status == 502, endpoint.script
+    assert len(endpoint.executed_ids) == len(CUT_HEADS)
+
+
+@pytest.mark.parametrize(
+    ("body", "script_end", "status"),
+    [
+        (b"whole", "close", 200),
+        (b"", "close", 200),
+        (b"", "reset", 502),
+        (b"half", "reset", 502),
+    ],
+)
+async def test_a_body_that_ends_with_its_connection_is_whole_unless_reset(
+    harness: GatewayHarness, body: bytes, script_end: str, status: int
+) -> None:
+    script = OK_HEAD + b"\r\n" + body
+    response = await send_to_scripted_endpoint(harness, "/book/1", script, script_end)
+    assert response.status == status
+    assert response.body == (body if status == 200 else b"")
+
+
+@pytest.mark.parametrize("framing", ["none", "length", "chunked"])
+@pytest.mark.parametrize("cut", list(CUT_STREAMS))
+async def test_a_stream_that_ends_within_an_event_is_broken_off(
+    harness: GatewayHarness, cut: str, framing: str
+) -> None:
+    """Guards against a stream that looks complete before its last event."""
+    script = frame(CUT_STREAMS[cut], framing)
+    end = "close" if framing == "none" else "keep"
+    response = await send_to_scripted_endpoint(harness, "/chat/1", script, end)
+    whole_events = make_events(1, 2)
+    if "crlf" in cut:
+        whole_events = whole_events.replace(b"\n", b"\r\n")
+    assert response.body == whole_events
+    assert not response.complete
+
+
+async def test_a_stream_without_an_event_that_ends_with_its_connection_is_none(
+    harness: GatewayHarness,
+) -> None:
+    """Guards against a stream that looks complete before its first event."""
+    script = STREAM_HEAD + b"\r\n"
+    response = await send_to_scripted_endpoint(harness, "/chat/1", script, "close")
+    assert response.status == 502
+
+
+@pytest.mark.parametrize("framing", ["none", "length", "chunked"])
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n"], ids=["lf", "crlf"])
+async def test_a_stream_that_ends_after_an_event_is_complete(
+    harness: GatewayHarness, line_end: bytes, framing: str
+) -> None:
+    body = make_events(1, 3).replace(b"\n", line_end)
+    end = "close" if framing == "none" else "keep"
+    response = await send_to_scripted_endpoint(
+        harness, "/chat/1", frame(body, framing), end
+    )
+    assert response.body == body
+    assert response.complete
+
+
+async def test_a_reset_after_an_event_leaves_a_stream_incomplete(
+    harness: GatewayHarness,
+) -> None:
+    script = frame(make_events(1, 3), "none")
+    response = await send_to_scripted_endpoint(harness, "/chat/1", script, "reset")
+    assert response.body == make_events(1, 3)
+    assert not response.complete
--- a/tests/unit/gateway/test_event_stream.py
+++ b/tests/unit/gateway/test_event_stream.py
@@ -65,3 +65,39 @@
     event = f"id: {event_id}\ndata: b\n\n".encode()
     assert splitter.feed(b": ping\n\n" + event) == b": ping\n\n" + event
     assert splitter.feed(b"data: [DONE]\n\n") == b"data: [DONE]\n\n"
+
+
+@pytest.mark.parametrize("chunk_bytes", [1, 7, 200])
+def test_events_may_end_with_crlf_in_any_split_of_the_bytes(chunk_bytes: int) -> None:
+    stream = b"".join(EVENTS).replace(b"\n", b"\r\n")
+    splitter = EventStreamSplitter()
+    received = [
+        splitter.feed(stream[start : start + chunk_bytes])
+        for start in range(0, len(stream), chunk_bytes)
+    ]
+    assert b"".join(received) == stream
+    assert sum(map(splitter.count_events, received)) == len(EVENTS)
+    assert splitter.last_event_id == "3"
+    assert not splitter.within_event
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
+def test_the_head_of_an_error_is_no_event(line_end: bytes) -> None:
+    """Guards against the head of an error in the middle of a stream."""
+    splitter = EventStreamSplitter()
+    splitter.feed(EVENTS[0].replace(b"\n", line_end))
+    head = b"HTTP/1.1 500 Error\r\nContent-Length: 5\r\n\r\nerror"
+    if line_end == b"\r\n":
+        with pytest.raises(MalformedResponseError):
+            splitter.feed(head)
+    else:
+        assert splitter.feed(head) == b""
+        assert splitter.within_event
+
+
+def test_a_line_end_after_the_last_event_is_not_within_an_event() -> None:
+    splitter = EventStreamSplitter()
+    assert splitter.feed(EVENTS[0]) == EVENTS[0]
+    assert splitter.feed(b"\n") == b""
+    assert not splitter.within_event
+    assert splitter.flush() == b"\n"
