End an answer that an error would continue

Cause: the dispatcher sent on the chunks of each attempt after the first, whatever the status and content type that the agent reported with them; an attempt that ended as done without a chunk completed the answer. Class: as in the gateway, a continuation accepted without a look at it.

Evidence, on the code before: unit/entry/test_continued_answer.py, 4 of 5 failed with "DID NOT RAISE OutcomeUnknownError": status 500 as text and as a stream, a 200 that is no stream, a stream without an event. A sound continuation held.

Change: after delivered chunks, an attempt must report status 200 and an event stream, else the answer ends with the error event "broken_off", as one that nothing could continue.

After: 5 passed, and processes/test_whole_answer.py (12).

Looked at as well: the agent's client already counts a stream that ends within an event as interrupted; it recognises LF line ends only. It takes the next response on a kept connection to its own endpoint without comparing ids (not changed). The store's and the peers' calls know no ids either; a body that is not whole JSON is an error there.

--- a/src/shallotroad/entry/dispatcher.py
+++ b/src/shallotroad/entry/dispatcher.py
@@ -48,6 +48,8 @@
     from shallotroad.policy.affinity import PrefixHistory
     from shallotroad.policy.suspects import Suspects
 
+HTTP_OK = 200
+EVENT_STREAM = "text/event-stream"
 ATTEMPT_ID_BYTES = 12
 # Maximum number of offers of a request. Each retry resets the count.
 MAX_OFFERS = 4
@@ -209,18 +211,23 @@
         while True:
             peer = await self._next_peer(progress)
             attempt = self._send_offer(progress, peer)
+            continues = bool(progress.delivered)
             try:
                 async for response_chunk in self._stream_attempt(peer, attempt):
+                    if continues:
+                        self._check_continuation(peer, attempt)
                     progress.delivered.extend(c.data for c in response_chunk.chunks)
                     yield response_chunk
             except (asyncio.CancelledError, GeneratorExit):
                 peer.cancel(attempt, linger_s=CALLER_RESUME_TIMEOUT_S)
                 raise
             if await self._handle_attempt_end(progress, peer, attempt):
+                if continues:
+                    self._check_continuation(peer, attempt)
                 return
             closing_chunks = missing_closing_chunks(progress.delivered, request.body)
             if closing_chunks is not None:
-                yield ResponseChunk("", closing_chunks, 200, "text/event-stream")
+                yield ResponseChunk("", closing_chunks, HTTP_OK, EVENT_STREAM)
                 return
 
     async def resume(
@@ -368,6 +375,18 @@
             )
             peer.acknowledge(attempt)
 
+    def _check_continuation(self, peer: AgentPeer, attempt: Attempt) -> None:
+        """Cancel an attempt and raise if its response is not the rest of a stream.
+
+        The response to a continuation may be an error, which must not be sent as a part
+        of the answer that broke off.
+        """
+        if attempt.status == HTTP_OK and EVENT_STREAM in attempt.content_type:
+            return
+        peer.cancel(attempt)
+        detail = f"status {attempt.status} instead of the rest of the answer"
+        raise OutcomeUnknownError(code="broken_off", detail=detail, status=502)
+
     async def _handle_attempt_end(
         self, progress: RequestProgress, peer: AgentPeer, attempt: Attempt
     ) -> bool:
