--- a/devtools/dependency_standins.py
+++ b/devtools/dependency_standins.py
@@ -9,6 +9,8 @@
 import asyncio
 import base64
 import json
+import socket
+import struct
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -27,6 +29,10 @@
 # Time from receiving a deadly request to the crash, and from there to the restart.
 CRASH_DELAY_S = 0.03
 RESTART_DELAY_S = 0.6
+# Between the bytes of a script and a reset, which would overtake them.
+SCRIPT_LEAD_S = 0.05
+# Between a refusal that is sent once more and the response that it precedes.
+REFUSAL_LEAD_S = 0.05
 FILLER = b"x" * 65_536
 # The only service that the configuration describes as engines.
 ENGINE_SERVICE = "model"
@@ -157,12 +163,20 @@
         Status 503 with the statement that the request was not run.
     ``late``
         A response that is sent a second time 50 ms later.
+    ``refusal-again``, ``refusal-again-without-id``
+        The first request is refused. A later one on its connection runs and is
+        answered, but the refusal is sent once more before the response. It states the
+        id of the first request, or none.
     ``unsigned``
         A response without the signature of the endpoint.
     ``error``
         Status 500.
     ``torn``
         A stream without a length that ends, without a reset, within its third event.
+    ``scripted``
+        The bytes of ``script``, with the id of the request for ``REQUEST_ID``, and then
+        the end of the connection, or none of it, that ``script_end`` names: "keep",
+        "close" or "reset".
     ``stalled``
         A stream that sends a byte of its third event now and then, without end; for
         a service without streams, a body that does so.
@@ -185,12 +199,16 @@
         self.service = service
         self.mode = mode
         self.zone = zone
+        self.script = b""
+        self.script_end = "keep"
         self.event_count = 6
         self.event_gap_s = EVENT_GAP_S
         self.received: list[ReceivedRequest] = []
         self.executed_ids: list[str] = []
         self._cached_prefixes: list[tuple[str, int]] = []
         self._cache_list = self._encode_cache_list()
+        self._refusals: dict[asyncio.StreamWriter, bytes] = {}
+        self.repeated_refusals = 0
         self.aborted_connections = 0
         self.filler_bytes = 0
         self.registered_port = 0
@@ -329,12 +347,26 @@
             extra = "X-Not-Executed: 1\r\nContent-Length: 0\r\n"
             writer.write(self._response_head(request, "503 Unavailable", extra))
             return True
+        if self.mode.startswith("refusal-again") and not self._refusals:
+            extra = "X-Not-Executed: 1\r\nContent-Length: 0\r\n"
+            refusal = self._response_head(request, "503 Unavailable", extra)
+            if self.mode.endswith("without-id"):
+                refusal = f"HTTP/1.1 503 Unavailable\r\n{extra}\r\n".encode()
+            self._refusals[writer] = refusal
+            writer.write(refusal)
+            return True
         self.executed_ids.append(request.request_id)
+        if writer in self._refusals:
+            writer.write(self._refusals[writer])
+            self.repeated_refusals += 1
+            await asyncio.sleep(REFUSAL_LEAD_S)
         if self.mode == "reset":
             return False
         if self.mode == "mute":
             await asyncio.sleep(60)
             return False
+        if self.mode == "scripted":
+            return await self._send_script(request, writer)
         if self.mode.startswith("endless-"):
             await self._send_without_end(request, writer, signature_header)
             return False
@@ -358,6 +390,23 @@
             writer.write(response)
         return True
 
+    async def _send_script(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Send ``script``; return False so that the connection is reset."""
+        writer.write(self.script.replace(b"REQUEST_ID", request.request_id.encode()))
+        await writer.drain()
+        if self.script_end == "close":
+            writer.close()
+            await writer.wait_closed()
+        elif self.script_end == "reset":
+            await asyncio.sleep(SCRIPT_LEAD_S)
+            raw_socket = writer.get_extra_info("socket")
+            raw_socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        return self.script_end != "reset"
+
     async def _send_without_end(
         self,
         request: ReceivedRequest,
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -15,7 +15,6 @@
 from typing import Protocol
 
 from shallotroad.catalog.configuration import RouteKind
-from shallotroad.gateway.event_stream import EVENT_SEPARATOR
 from shallotroad.gateway.exceptions import BrokenStreamError
 from shallotroad.gateway.exceptions import OutcomeUnknownError
 from shallotroad.gateway.exceptions import RefusedError
@@ -328,7 +327,8 @@
         """Count a possible run, exclude the endpoint, and return if a retry may follow.
 
         The job must be repeatable, and the route's ``max_attempts``, the time and the
-        retry budget must allow another attempt.
+        retry budget must allow another attempt. A stream that has started must have an
+        event identifier after which it can be resumed.
 
         Raises
         ------
@@ -342,8 +342,12 @@
         job.excluded.add(placement.load.record.identifier)
         job.possible_runs += 1
         now_s = self._clock()
+        resumable = (
+            splitter is None or not splitter.started or bool(splitter.last_event_id)
+        )
         may_retry = (
             job.route.repeatable
+            and resumable
             and job.possible_runs < job.route.max_attempts
             and now_s < job.end_s
             and self._retry_budget(job.service.name).try_spend(
@@ -399,7 +403,9 @@
                 else NON_REPEATABLE_MAX_IDLE_S
             )
             try:
-                connection = await pool.acquire(max_idle_s=max_idle_s)
+                connection = await pool.acquire(
+                    max_idle_s=max_idle_s, request_id=job.request.request_id
+                )
                 await connection.send(
                     job.request.request_id,
                     self._encode_head(job, identifier, splitter),
@@ -514,7 +520,9 @@
     ) -> BufferedResponse | None:
         """Receive a response; return None if it was a stream that went to ``sink``.
 
-        The first event of a stream extends ``timeout``.
+        A response is a stream only if its content type says so. Any other is returned
+        whole, and is no response to a stream that has started. The first event of a
+        stream extends ``timeout``.
 
         Raises
         ------
@@ -537,7 +545,7 @@
             raise NotRunError(f"status {head.status}", sent=True)
         if head.encoded or not head.signed:
             raise MalformedResponseError(f"status {head.status} without a signature")
-        if not (job.streams and head.status < 300):
+        if not (job.streams and head.status < 300 and head.event_stream):
             body = await read_body(connection, max_bytes=MAX_BODY_BYTES)
             progress.ended = True
             if head.length is not None and head.length != len(body):
@@ -591,16 +599,17 @@
         The first of them extends ``timeout`` until ``RESPONSE_GRACE_S`` after the job's
         end. ``sink`` gets the head before the first event of the job, or at the end of
         a stream without events, and none when another endpoint resumes the stream.
-        Bytes after the last complete event are written only at the end.
+        Line ends after the last event are written only at the end.
 
         Raises
         ------
         ConnectionLostError
-            When the response does not have the announced length, or the connection
-            ends within an event and so may have been cut off.
+            When the response does not have the announced length, ends within an event,
+            or ends with its connection before the first one, and so may have been cut
+            off. One that was resumed may have no more events.
         ConnectionLostError, MalformedResponseError
-            When the connection fails before the response is complete, or an event is
-            too large.
+            When the connection fails before the response is complete, an event is too
+            large, or the events don't follow those of the stream that is resumed.
         """
         received_bytes = 0
         while chunk := await connection.read():
@@ -608,7 +617,7 @@
             events = splitter.feed(chunk)
             if not events:
                 continue
-            progress.record_events(events)
+            progress.record_events(splitter.count_events(events))
             if not progress.started_s:
                 progress.record_first_event()
                 remaining_s = job.end_s + RESPONSE_GRACE_S - self._clock()
@@ -621,8 +630,14 @@
             raise ConnectionLostError(
                 "response stream does not have the announced length"
             )
-        if splitter.within_event and head.length is None and not head.chunked:
-            raise ConnectionLostError("the connection ended within an event")
+        if splitter.within_event:
+            raise ConnectionLostError("the stream ended within an event")
+        ends_with_connection = head.length is None and not head.chunked
+        resumed = splitter.started or (
+            job.route.resumable and job.request.last_event_id
+        )
+        if ends_with_connection and not resumed:
+            raise ConnectionLostError("the connection ended before the first event")
         rest = splitter.flush()
         if not splitter.started:
             splitter.started = True
@@ -686,11 +701,9 @@
                 self._placement, self._first_event_ms
             )
 
-    def record_events(self, events: bytes) -> None:
+    def record_events(self, count: int) -> None:
         """Record complete events that have arrived together."""
-        self._placement_client.record_events(
-            self._placement, events.count(EVENT_SEPARATOR)
-        )
+        self._placement_client.record_events(self._placement, count)
         if self.started_s:
             self.watch.record_events(self._clock() - self.started_s)
 
--- a/tests/unit/gateway/test_event_stream.py
+++ b/tests/unit/gateway/test_event_stream.py
@@ -2,10 +2,12 @@
 
 import itertools
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from shallotroad.gateway.event_stream import EventStreamSplitter
+from shallotroad.upstream.exceptions import MalformedResponseError
 
 
 EVENTS = [b"id: 1\ndata: a\n\n", b"id: 2\ndata: id: 9\n\n", b"data: b\nid: 3\n\n"]
@@ -40,3 +42,62 @@
     splitter.discard_partial()
     assert splitter.last_event_id == "1"
     assert splitter.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
+
+
+@pytest.mark.parametrize(
+    "events",
+    [b"data: error\n\n", b"id: 7\ndata: a\n\n", b": x\n\nid: 2\n\n", b"no event\n\n"],
+)
+def test_a_resumed_stream_must_follow_its_last_event(events: bytes) -> None:
+    """Guards against the text of an error, or events twice, in a resumed stream."""
+    splitter = EventStreamSplitter()
+    splitter.feed(b"id: 7\ndata: a\n\n")
+    splitter.discard_partial()
+    with pytest.raises(MalformedResponseError):
+        splitter.feed(events)
+
+
+@pytest.mark.parametrize("event_id", ["8", "10", "x"])
+def test_a_resumed_stream_may_go_on_at_any_later_event(event_id: str) -> None:
+    splitter = EventStreamSplitter()
+    splitter.feed(b"id: 7\ndata: a\n\n")
+    splitter.discard_partial()
+    event = f"id: {event_id}\ndata: b\n\n".encode()
+    assert splitter.feed(b": ping\n\n" + event) == b": ping\n\n" + event
+    assert splitter.feed(b"data: [DONE]\n\n") == b"data: [DONE]\n\n"
+
+
+@pytest.mark.parametrize("chunk_bytes", [1, 7, 200])
+def test_events_may_end_with_crlf_in_any_split_of_the_bytes(chunk_bytes: int) -> None:
+    stream = b"".join(EVENTS).replace(b"\n", b"\r\n")
+    splitter = EventStreamSplitter()
+    received = [
+        splitter.feed(stream[start : start + chunk_bytes])
+        for start in range(0, len(stream), chunk_bytes)
+    ]
+    assert b"".join(received) == stream
+    assert sum(map(splitter.count_events, received)) == len(EVENTS)
+    assert splitter.last_event_id == "3"
+    assert not splitter.within_event
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
+def test_the_head_of_an_error_is_no_event(line_end: bytes) -> None:
+    """Guards against the head of an error in the middle of a stream."""
+    splitter = EventStreamSplitter()
+    splitter.feed(EVENTS[0].replace(b"\n", line_end))
+    head = b"HTTP/1.1 500 Error\r\nContent-Length: 5\r\n\r\nerror"
+    if line_end == b"\r\n":
+        with pytest.raises(MalformedResponseError):
+            splitter.feed(head)
+    else:
+        assert splitter.feed(head) == b""
+        assert splitter.within_event
+
+
+def test_a_line_end_after_the_last_event_is_not_within_an_event() -> None:
+    splitter = EventStreamSplitter()
+    assert splitter.feed(EVENTS[0]) == EVENTS[0]
+    assert splitter.feed(b"\n") == b""
+    assert not splitter.within_event
+    assert splitter.flush() == b"\n"
