Let the soak's callers respect an announced end of the connection

The socket callers now end a connection after such a response. Requests that were written before it, pipelined ones, are checked as before.

--- a/devtools/soak_callers.py
+++ b/devtools/soak_callers.py
@@ -41,7 +41,8 @@
     tells whether it was sent whole in one write with a request that got a response,
     and ``shut_down_sending`` whether its caller then shut down its sending side.
     ``fresh_at`` is the gateway of a request that was the first of its connection, if
-    it was sent whole at once; empty otherwise.
+    it was sent whole at once; empty otherwise. ``announced_close`` tells whether the
+    response said that the connection is closed after it.
     """
 
     request_id: str
@@ -56,6 +57,7 @@
     follows_answered: bool = False
     shut_down_sending: bool = False
     fresh_at: str = ""
+    announced_close: bool = False
 
     @property
     def unanswered(self) -> bool:
@@ -89,6 +91,7 @@
         self.body = b""
         self.complete = False
         self.signed = False
+        self.closes = False
 
     async def receive(self, reader: asyncio.StreamReader) -> None:
         """Receive the response.
@@ -108,6 +111,7 @@
         }
         self.status = int(status_line.split(" ")[1])
         self.signed = "x-replica-signature" in headers
+        self.closes = headers.get("connection", "").lower() == "close"
         if headers.get("transfer-encoding") == "chunked":
             while size := int(await reader.readuntil(b"\r\n"), 16):
                 self.body += (await reader.readexactly(size + 2))[:-2]
@@ -204,6 +208,7 @@
                 follows_answered=number > 0 and calls[-1].complete and not is_split,
                 shut_down_sending=exchange.shuts_down_sending,
                 fresh_at=fresh_at if number == 0 and not is_split else "",
+                announced_close=response.closes,
             )
         )
     sending.cancel()
@@ -244,6 +249,7 @@
 ) -> None:
     """Use one connection after another, each until it ends, until ``end_s``.
 
+    It ends with a response that announces that, as callers have to respect it.
     The caller stays with its gateway for as long as that accepts connections.
     """
     gateways = sorted(run.harness.ports)
@@ -271,7 +277,11 @@
                 reader, writer, exchange, requests, fresh_at=fresh_at
             )
             fresh_at = ""
-            connected = calls[-1].complete and not exchange.shuts_down_sending
+            connected = (
+                calls[-1].complete
+                and not calls[-1].announced_close
+                and not exchange.shuts_down_sending
+            )
             # Most requests follow at once; some meet the end of an idle connection.
             await asyncio.sleep(rng.choice((0.0, 0.0, 0.0, rng.uniform(0.0, 2.0))))
             connected = connected and not reader.at_eof()
