Let the facts of a crash arrive before a suspension takes effect

Cause: a verdict took effect on the losses known so far. Change: it does 0.2 s after it was first found. The test of a bystander fails with a delay of 0 and passes with 0.2 s.

--- a/src/shallotroad/gateway/crash_monitor.py
+++ b/src/shallotroad/gateway/crash_monitor.py
@@ -46,6 +46,9 @@
 MAX_LOGGED_REQUESTS = 8
 # Lost requests of one crash whose keys are kept.
 MAX_LOST_REQUESTS = 16
+# Time from a verdict to its effect, in which losses at other gateways become known that
+# may explain the same crashes by another key.
+SETTLE_S = 0.2
 # Retry-After of a suspended request: the time to the next trial within these limits.
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 60.0
@@ -168,6 +171,7 @@
         self._lost: dict[Incarnation, list[LostAttempt]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._suspended: dict[frozenset[str], Verdict] = {}
+        self._suspended_since_s: dict[frozenset[str], float] = {}
         exchange.on_changed = self._update_verdicts
 
     @property
@@ -243,7 +247,8 @@
         self._update_verdicts()
         now_s = self._clock()
         for verdict in self._suspended.values():
-            if not self._applies(verdict, job):
+            settled_s = self._suspended_since_s[verdict.keys] + SETTLE_S
+            if now_s < settled_s or not self._applies(verdict, job):
                 continue
             if job.trial_attempt == len(job.attempts):
                 continue
@@ -292,6 +297,9 @@
             verdict.keys: verdict for verdict in self._correlation.verdicts(now_s)
         }
         previous, self._suspended = self._suspended, current
+        self._suspended_since_s = {
+            keys: self._suspended_since_s.get(keys, now_s) for keys in current
+        }
         for verdict in current.values():
             if verdict.keys not in previous:
                 self._metrics.suspensions.inc({"event": "begun"})
--- a/tests/unit/gateway/test_crash_monitor.py
+++ b/tests/unit/gateway/test_crash_monitor.py
@@ -1,4 +1,4 @@
-"""Crashes of endpoints are told from resets of connections, in the metrics."""
+"""Crashes are told from resets, and a suspension waits for the losses of others."""
 
 from __future__ import annotations
 
@@ -7,9 +7,22 @@
 import pytest
 
 from shallotroad.gateway.crash_monitor import CONFIRMATION_DELAY_S
+from shallotroad.gateway.crash_monitor import SETTLE_S
+from shallotroad.gateway.exceptions import RefusedError
+from shallotroad.policy.crash_correlation import Incarnation
+from shallotroad.policy.crash_correlation import encode_fact
+from tests.crash_builders import CrashFixture
+from tests.crash_builders import loop_time
 from tests.crash_builders import make_crash_fixture
+from tests.crash_builders import make_prompt_job
 from tests.gateway_builders import make_gateway_job
 from tests.gateway_builders import make_record
+from tests.virtual_time import VirtualTimePolicy
+
+
+@pytest.fixture
+def event_loop_policy() -> VirtualTimePolicy:
+    return VirtualTimePolicy()
 
 
 @pytest.mark.parametrize(
@@ -29,3 +42,46 @@
         fixture.monitor.watch(make_gateway_job(), record).record_connection_lost()
     await asyncio.sleep(2 * CONFIRMATION_DELAY_S)
     assert fixture.metrics.endpoint_losses.get({"cause": cause}) == 1
+
+
+async def crash_three_engines(fixture: CrashFixture, part: str) -> None:
+    """Lose a request of its own with a part in three crashes, a second apart."""
+    for number in range(3):
+        await asyncio.sleep(1.0)
+        job = make_prompt_job(part, body=f"{part}{number}".encode())
+        watch = fixture.monitor.watch(job, make_record(f"e{number}"))
+        watch.record_connection_lost()
+    await asyncio.sleep(2 * CONFIRMATION_DELAY_S)
+
+
+async def test_a_suspension_takes_effect_once_facts_have_settled() -> None:
+    fixture = make_crash_fixture()
+    await crash_three_engines(fixture, "deadly")
+    job = make_prompt_job("deadly", body=b"later")
+    fixture.monitor.check(job)
+    await asyncio.sleep(SETTLE_S)
+    with pytest.raises(RefusedError, match="crash endpoints"):
+        fixture.monitor.check(job)
+
+
+# Guards against a short suspension of what was beside the deadly part in each crash.
+async def test_losses_of_another_gateway_spare_a_bystander_in_time() -> None:
+    fixture, other = make_crash_fixture("g0"), make_crash_fixture("g1")
+    job = make_prompt_job("bystander", body=b"later")
+    await asyncio.gather(
+        crash_three_engines(fixture, "bystander"), crash_three_engines(other, "deadly")
+    )
+    # The first crash shows a second request with the deadly part.
+    facts = other.correlation.record_crash(
+        Incarnation("e0", 1), [("deadly", "request:x")], loop_time() - 2.0
+    )
+    assert facts
+    fixture.monitor.check(job)
+    rows = [
+        encode_fact(f, loop_time()) for f in other.correlation.facts(99, loop_time())
+    ]
+    fixture.exchange.merge(rows)
+    await asyncio.sleep(2 * SETTLE_S)
+    fixture.monitor.check(job)
+    with pytest.raises(RefusedError):
+        fixture.monitor.check(make_prompt_job("deadly", body=b"own"))
