Pass on no refusal that does not state that the request has not run

Class: a response taken for a proof because of its status. Such a response now counts as an unknown outcome: repeatable requests are tried again within their budget, others get a 502.

Before: 503, 429, 408 instead of 502 in the three cases of the new test, with the request run once.

--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -535,8 +535,9 @@
         ConnectionLostError
             When the response is not complete.
         AttemptOutcomeUnknownError
-            When a 5xx response may be retried, or the response to a stream that has
-            started is not its continuation.
+            When a 5xx response may be retried, the status wrongly promises that the
+            request has not run, or the response to a stream that has started is not its
+            continuation.
         """
         head = await connection.head()
         if head.not_run:
@@ -553,6 +554,10 @@
                     "response body does not have the announced length"
                 )
             progress.record_first_event()
+            if head.reads_as_not_run:
+                raise AttemptOutcomeUnknownError(
+                    f"status {head.status} without a statement that it has not run"
+                )
             response = BufferedResponse(head, body)
             if splitter is not None and splitter.started:
                 raise AttemptOutcomeUnknownError(
--- a/src/shallotroad/platform/headers.py
+++ b/src/shallotroad/platform/headers.py
@@ -23,6 +23,8 @@
 # unless it states that the request was not run.
 SIGNATURE = b"x-replica-signature"
 # Its presence alone, whatever the value, proves that the request was not run.
+# Statuses by which callers take a request for not run, so that they may send it again.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 NOT_RUN = b"x-not-executed"
 EXPECTED_ENDPOINT = b"x-expect-replica"
 # The router does not read this header; it is forwarded like any other.
@@ -157,6 +159,9 @@
     not_run : bool
         Whether the response proves that the endpoint did not run the request: it has
         the header ``NOT_RUN``, or status 421.
+    reads_as_not_run : bool
+        Whether callers take the status for a promise that the request has not run,
+        although only ``not_run`` proves it.
     other_endpoint : bool
         Whether the address belongs to another endpoint than expected (status 421).
     length : int or None
@@ -180,6 +185,7 @@
     request_id: str
     signed: bool
     not_run: bool
+    reads_as_not_run: bool
     other_endpoint: bool
     length: int | None
     chunked: bool
@@ -311,6 +317,7 @@
         request_id=headers.get(REQUEST_ID, b"").decode("latin-1"),
         signed=SIGNATURE in headers,
         not_run=NOT_RUN in headers or status == 421,
+        reads_as_not_run=status in NOT_RUN_STATUSES,
         other_endpoint=status == 421,
         length=int(length) if length is not None and length.isdigit() else None,
         chunked=b"chunked" in headers.get(b"transfer-encoding", b"").lower(),
--- a/tests/processes/test_untrue_responses.py
+++ b/tests/processes/test_untrue_responses.py
@@ -91,6 +91,19 @@
     assert {execution_count(harness, name) for name in request_ids} == {1}
 
 
+@pytest.mark.parametrize("status", [b"503 Unavailable", b"429 Busy", b"408 Late"])
+async def test_a_status_of_a_refusal_alone_does_not_call_a_request_not_run(
+    harness: GatewayHarness, status: bytes
+) -> None:
+    """Guards against REFUSED: an endpoint's own 503 after it has run the request."""
+    endpoint = await harness.add_endpoint("s1", "shop", "scripted")
+    endpoint.script = with_length(OK_HEAD.replace(b"200 OK", status), b"failed")
+    await harness.start()
+    response = await harness.send_request("/book/1", "q1", body=b"slot")
+    assert execution_count(harness, "q1") == 1
+    assert response.status == 502
+
+
 @pytest.mark.parametrize(
     ("path", "service"), [("/book/1", "shop"), ("/chat/1", "model")]
 )
