--- a/src/shallotroad/platform/headers.py
+++ b/src/shallotroad/platform/headers.py
@@ -19,12 +19,12 @@
 AUTHORIZATION = b"authorization"
 # The platform calls a team a tenant, and an endpoint a replica.
 TEAM = b"x-tenant"
+# Statuses by which callers take a request for not run, so that they may send it again.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # An endpoint signs its responses. One without this header is treated as malformed,
 # unless it states that the request was not run.
 SIGNATURE = b"x-replica-signature"
 # Its presence alone, whatever the value, proves that the request was not run.
-# Statuses by which callers take a request for not run, so that they may send it again.
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 NOT_RUN = b"x-not-executed"
 EXPECTED_ENDPOINT = b"x-expect-replica"
 # The router does not read this header; it is forwarded like any other.
