--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections import defaultdict
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -18,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from shallotroad.gateway.crash_monitor import AttemptWatch
     from shallotroad.gateway.job import Job
 
 RESTART_S = 3.0
@@ -26,6 +28,8 @@
 STREAM_S = (0.2, 3.0)
 GOSSIP_INTERVAL_S = 0.6
 MAX_ATTEMPTS = 2
+# Time after which a caller whose request failed sends it again.
+REPEAT_S = (0.2, 1.5)
 
 
 class Arrival(NamedTuple):
@@ -33,6 +37,7 @@
 
     at_s: float
     parts: tuple[str, ...]
+    body: bytes
 
 
 class Engine:
@@ -61,7 +66,21 @@
 
 
 class CrashSimulation:
-    """Requests with shared parts at gateways and engines, some of which are deadly."""
+    """Requests with shared parts at gateways and engines, some of which are deadly.
+
+    Attributes
+    ----------
+    deadly : set of str
+        Prompt parts that crash the engine that begins to run them.
+    deadly_bodies : set of bytes
+        Bodies of whole requests that do so.
+    crash_delay_s : float
+        Time from the first event to such a crash; without it, no event is written.
+    store_reachable : bool
+        Whether the gateways learn of the new start of an engine.
+    draining : bool
+        Whether the engines have announced that they leave.
+    """
 
     def __init__(self, *, gateways: int, engines: int, seed: int) -> None:
         self.rng = random.Random(seed)
@@ -74,6 +93,11 @@
         )
         self.engines = [Engine(number) for number in range(engines)]
         self.deadly: set[str] = set()
+        self.deadly_bodies: set[bytes] = set()
+        self.crash_delay_s = 0.0
+        self.store_reachable = True
+        self.draining = False
+        self.body_crashes_s: dict[bytes, list[float]] = defaultdict(list)
         self.arrivals: list[Arrival] = []
         self.crash_times_s: list[float] = []
         self.served: list[Arrival] = []
@@ -101,19 +125,47 @@
         self.rng.choice(self.engines).end_connections()
 
     async def send_load(
-        self, parts: Sequence[tuple[str, ...]], *, per_s: float, for_s: float
+        self,
+        parts: Sequence[tuple[str, ...]],
+        *,
+        per_s: float,
+        for_s: float,
+        repeats: int = 0,
     ) -> None:
-        """Send requests with parts drawn from a list to random gateways."""
+        """Send requests with parts drawn from a list to random gateways.
+
+        A caller whose request fails sends it up to ``repeats`` times again.
+        """
         end_s = loop_time() + for_s
         while loop_time() < end_s:
             await asyncio.sleep(self.rng.expovariate(per_s))
             self._count += 1
-            job = make_prompt_job(
-                *self.rng.choice(parts),
-                body=str(self._count).encode(),
-                now_s=loop_time(),
-            )
-            self.start(self._serve(job))
+            body = str(self._count).encode()
+            self.start(self._call(self.rng.choice(parts), body, repeats))
+
+    async def send_again(
+        self,
+        bodies: Sequence[bytes],
+        parts: tuple[str, ...],
+        *,
+        every_s: float,
+        for_s: float,
+        copies: int = 1,
+    ) -> None:
+        """Send one of some requests at a time, at once in a number of copies."""
+        end_s = loop_time() + for_s
+        while loop_time() < end_s:
+            await asyncio.sleep(every_s * self.rng.uniform(0.8, 1.2))
+            body = self.rng.choice(bodies)
+            for _ in range(copies):
+                self.start(self._call(parts, body, 0))
+
+    async def _call(self, parts: tuple[str, ...], body: bytes, repeats: int) -> None:
+        for _ in range(1 + repeats):
+            job = make_prompt_job(*parts, body=body, now_s=loop_time())
+            if await self._serve(job):
+                return
+            await asyncio.sleep(self.rng.uniform(*REPEAT_S))
 
     async def exchange_periodically(self) -> None:
         """Exchange facts between random gateways, as gossip does."""
@@ -121,7 +173,8 @@
             await asyncio.sleep(GOSSIP_INTERVAL_S)
             self.network.exchange_round()
 
-    async def _serve(self, job: Job) -> None:
+    async def _serve(self, job: Job) -> bool:
+        """Send a job to engines; return whether one has answered it."""
         name = self.rng.choice(list(self.network.gateways))
         parts = tuple(part.identifier for part in job.profile.parts[:-1])
         monitor = self.network.gateways[name].monitor
@@ -129,42 +182,60 @@
             try:
                 monitor.check(job)
             except RefusedError:
-                self.refused.append(Arrival(loop_time(), parts))
-                return
+                self.refused.append(Arrival(loop_time(), parts, job.body))
+                return False
             up = [engine for engine in self.engines if engine.up]
             if not up:
-                return
+                return False
             engine = self.rng.choice(up)
             record = make_record(
                 f"e{engine.number}",
                 port=engine.number,
-                started_at_ms=engine.started_at_ms,
+                started_at_ms=engine.started_at_ms if self.store_reachable else 1,
+                draining=self.draining,
             )
             job.attempts.append(record.identifier)
-            self.arrivals.append(Arrival(loop_time(), parts))
+            self.arrivals.append(Arrival(loop_time(), parts, job.body))
             watch = monitor.watch(job, record)
-            lost = engine.lost
-            if await self._lost_within(lost, self.rng.uniform(*FIRST_EVENT_S)):
-                watch.record_connection_lost()
-                continue
-            if self.deadly & set(parts):
-                self.crash_times_s.append(loop_time())
-                self.start(engine.crash())
-                await asyncio.sleep(0)
-                watch.record_connection_lost()
-                continue
-            rest_s = self.rng.uniform(*STREAM_S)
-            if await self._lost_within(lost, min(rest_s, PROOF_S)):
-                watch.record_connection_lost()
-                continue
-            if rest_s > PROOF_S:
-                watch.record_events(PROOF_S)
-            else:
-                watch.record_complete()
-            if await self._lost_within(lost, max(0.0, rest_s - PROOF_S)):
-                watch.record_connection_lost()
-            self.served.append(Arrival(loop_time(), parts))
-            return
+            if await self._runs(engine, job, watch):
+                self.served.append(Arrival(loop_time(), parts, job.body))
+                return True
+        return False
+
+    async def _runs(self, engine: Engine, job: Job, watch: AttemptWatch) -> bool:
+        """Run a job at an engine; return whether it answered it."""
+        lost = engine.lost
+        parts = {part.identifier for part in job.profile.parts}
+        deadly = bool(self.deadly & parts) or job.body in self.deadly_bodies
+        if await self._lost_within(lost, self.rng.uniform(*FIRST_EVENT_S)):
+            watch.record_connection_lost()
+            return False
+        if deadly and not self.crash_delay_s:
+            await self._crash(engine, job, watch)
+            return False
+        rest_s = self.crash_delay_s if deadly else self.rng.uniform(*STREAM_S)
+        if await self._lost_within(lost, min(rest_s, PROOF_S)):
+            watch.record_connection_lost()
+            return False
+        if rest_s > PROOF_S:
+            watch.record_events(PROOF_S)
+        if await self._lost_within(lost, max(0.0, rest_s - PROOF_S)):
+            watch.record_connection_lost()
+            return False
+        if deadly:
+            await self._crash(engine, job, watch)
+            return False
+        watch.record_complete()
+        return True
+
+    async def _crash(self, engine: Engine, job: Job, watch: AttemptWatch) -> None:
+        """Let a job crash the engine that runs it."""
+        self.crash_times_s.append(loop_time())
+        if job.body in self.deadly_bodies:
+            self.body_crashes_s[job.body].append(loop_time())
+        self.start(engine.crash())
+        await asyncio.sleep(0)
+        watch.record_connection_lost()
 
     async def _lost_within(self, lost: asyncio.Event, time_s: float) -> bool:
         try:
@@ -183,3 +254,11 @@
     def suspended_ever(self, part: str) -> int:
         """Return how many requests with a part were refused."""
         return sum(part in refusal.parts for refusal in self.refused)
+
+    def late_arrivals(self, body: bytes, after_s: float) -> int:
+        """Return how often a request arrived so long after its own third crash."""
+        crashes_s = self.body_crashes_s[body]
+        if len(crashes_s) < 3:
+            return 0
+        limit_s = crashes_s[2] + after_s
+        return sum(a.body == body and a.at_s > limit_s for a in self.arrivals)
