Count the crashes of each whole request by itself

Callers lost answers to engines that a few repeated requests crashed in turn: with eight of them, one was sent again after it had been suspended.

Crashes of one engine whose new start was unknown counted once. Class of fault: a safety bound that rests on attribution.

Change: RequestLosses counts per fingerprint how often it was lost at which endpoint since its last answer. Other requests explain none of that, only a suspended prompt part that the request does not have. Losses at one endpoint more than a second apart are different crashes, whatever start the store states. A request that was answered in the minute before needs five moments, as callers that ask the same send equal requests.

--- a/src/shallotroad/policy/crash_correlation.py
+++ b/src/shallotroad/policy/crash_correlation.py
@@ -3,9 +3,10 @@
 When an endpoint crashes, any of the requests that it had not yet begun to answer may be
 the cause. Each has some keys: the shared parts of its prompt, and a fingerprint of the
 whole request. A key that crashes endpoints has such a request in every crash, and no
-request with it is ever answered; a sound key is soon proven by an answer. A request is
-suspended once crashes at enough different moments have a key of it and nothing else
-explains them.
+request with it is ever answered; a sound key is soon proven by an answer. Requests with
+a part are suspended once crashes at enough different moments have this part and nothing
+else explains them; a whole request once it was lost in enough crashes that no suspended
+part explains (``RequestLosses``).
 
 Facts are shared by all gateways. They may arrive in any order and more than once.
 """
@@ -18,6 +19,9 @@
 from typing import Any
 from typing import NamedTuple
 
+from shallotroad.policy.request_losses import MOMENT_S
+from shallotroad.policy.request_losses import RequestLosses
+
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -36,8 +40,6 @@
 MAX_KEYS = 16
 MAX_TEXT_LENGTH = 160
 MAX_VERDICTS = 8
-# Crashes within this time have one cause, such as the power loss of a data centre.
-MOMENT_S = 0.2
 # Crash moments after which requests with a key are suspended. A key with an answer less
 # than PROVEN_BEFORE_S before its first crash needs more, because most such keys are
 # sound.
@@ -178,6 +180,7 @@
         self._source = source
         self._fact_count = 0
         self._lost: dict[str, LostRequest] = {}
+        self._request_losses = RequestLosses()
         # May still have keys of losses that were dropped for others.
         self._lost_keys: set[str] = set()
         self._proofs: dict[str, Proof] = {}
@@ -195,7 +198,7 @@
     @property
     def has_losses(self) -> bool:
         """Whether any lost request is known."""
-        return bool(self._lost)
+        return bool(self._lost or self._request_losses)
 
     def facts(self, limit: int, now_s: float) -> list[Fact]:
         """Return known facts, first those that verdicts rest on, then the newest."""
@@ -208,7 +211,8 @@
             )
             return decisive, fact.at_s
 
-        facts: list[Fact] = [*self._lost.values(), *self._proofs.values()]
+        lost = {fact.source: fact for fact in self._request_losses.repeated_losses()}
+        facts: list[Fact] = [*(lost | self._lost).values(), *self._proofs.values()]
         facts += self._trials.values()
         return sorted(facts, key=rank, reverse=True)[:limit]
 
@@ -248,6 +252,8 @@
             self._lost[fact.source] = fact
             self._lost_keys.update(fact.keys)
             self._drop_surplus_losses()
+            for key in filter(is_fingerprint, fact.keys):
+                self._request_losses.record_loss(key, fact)
             self._stale = True
             return [fact, *self._earlier_proofs(fact)]
         if isinstance(fact, Proof):
@@ -292,6 +298,8 @@
         self._remember(proof)
         self._proofs[proof.key] = proof
         _drop_oldest(self._proofs, MAX_PROOFS)
+        if is_fingerprint(proof.key):
+            self._request_losses.record_answer(proof.key, proof.at_s)
         self._stale = True
         return [proof]
 
@@ -306,6 +314,8 @@
 
     def _has_open_loss(self, key: str, at_s: float) -> bool:
         """Return whether an answer at ``at_s`` would clear a loss of the key."""
+        if is_fingerprint(key):
+            return self._request_losses.has_loss(key, at_s)
         if key not in self._lost_keys:
             return False
         known = self._proofs.get(key)
@@ -333,6 +343,7 @@
         self._lost_keys = {key for lost in self._lost.values() for key in lost.keys}
         self._proofs = {k: fact for k, fact in self._proofs.items() if is_live(fact)}
         self._trials = {k: fact for k, fact in self._trials.items() if is_live(fact)}
+        self._request_losses.expire(now_s - FACT_TTL_S)
         self._stale = True
 
     def next_trial_s(self, verdict: Verdict) -> float:
@@ -359,12 +370,38 @@
         trials = [self._trials[key] for key in verdict.keys if key in self._trials]
         return max((trial.number for trial in trials), default=0)
 
+    def _find_verdicts(self) -> list[Verdict]:
+        """Return the verdicts on whole requests, then those on prompt parts."""
+        found = self._find_part_verdicts()
+
+        def is_explained(lost: LostRequest) -> bool:
+            return any(
+                lost.endpoint in explained and not verdict.keys <= set(lost.keys)
+                for verdict, explained in found
+            )
+
+        requests = self._request_losses.suspended_without(is_explained)
+        suspended = {request.fingerprint for request in requests}
+        verdicts = [
+            Verdict(
+                lead=request.fingerprint,
+                keys=frozenset({request.fingerprint}),
+                crashes=request.crashes,
+                last_crash_s=request.last_crash_s,
+            )
+            for request in requests
+        ]
+        verdicts += [verdict for verdict, _ in found if not verdict.keys & suspended]
+        return verdicts
+
     # Search for the keys that explain the crashes
 
-    def _find_verdicts(self) -> list[Verdict]:
-        """Return the keys that explain the crashes, those with most evidence first.
+    def _find_part_verdicts(self) -> list[tuple[Verdict, set[Incarnation]]]:
+        """Return the parts that explain the crashes, and which crashes these are.
 
-        The crashes that a key explains are not counted for the others.
+        Those with most evidence come first. The crashes that a key explains are not
+        counted for the others. Keys of a whole request alone are left out, as
+        ``RequestLosses`` has them.
         """
         crash_times_s: dict[Incarnation, float] = {}
         for lost in self._lost.values():
@@ -387,21 +424,21 @@
             if key in self._proofs
             and self._proofs[key].at_s >= first_s - PROVEN_BEFORE_S
         }
-        verdicts: list[Verdict] = []
-        while len(verdicts) < MAX_VERDICTS:
+        verdicts: list[tuple[Verdict, set[Incarnation]]] = []
+        for _ in range(MAX_VERDICTS):
             found = _strongest(losses, proven)
             if found is None:
                 break
             lead, keys = found
             explained = {loss.endpoint for loss in losses if keys <= loss.keys}
-            verdicts.append(
-                Verdict(
+            if not all(map(is_fingerprint, keys)):
+                verdict = Verdict(
                     lead=lead,
                     keys=keys,
                     crashes=len({moments[endpoint] for endpoint in explained}),
                     last_crash_s=max(crash_times_s[endpoint] for endpoint in explained),
                 )
-            )
+                verdicts.append((verdict, explained))
             losses = [loss for loss in losses if loss.endpoint not in explained]
         return verdicts
 
--- /dev/null
+++ b/src/shallotroad/policy/request_losses.py
@@ -0,0 +1,173 @@
+"""Counts how often each whole request was lost in crashes since it was last answered.
+
+A request that crashes each endpoint that runs it is lost with each of them, and never
+answered. No request explains the losses of another one, so requests that crash
+endpoints at the same time don't hide each other.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from shallotroad.policy.crash_correlation import LostRequest
+
+# Crashes after which a request is suspended. One that was answered less than
+# ANSWERED_BEFORE_S before the first of them is most likely sound, so it must be lost at
+# more moments: callers that ask the same send equal requests, and a power loss takes
+# many of them at once.
+MIN_CRASHES = 3
+MIN_MOMENTS_IF_ANSWERED = 5
+ANSWERED_BEFORE_S = 60.0
+# Losses at one endpoint within this time are one crash: it takes longer to start again.
+CRASH_SPAN_S = 1.0
+# Crashes within this time have one cause, such as the power loss of a data centre.
+MOMENT_S = 0.2
+MAX_REQUESTS = 4_096
+MAX_LOSSES_OF_A_REQUEST = 64
+
+
+class RequestCrashes(NamedTuple):
+    """The crashes for which a request is suspended; the time is monotonic."""
+
+    fingerprint: str
+    crashes: int
+    last_crash_s: float
+
+
+class RequestLosses:
+    """The losses of whole requests by fingerprint, and when each was last answered.
+
+    Losses and answers may be recorded in any order.
+    """
+
+    def __init__(self) -> None:
+        self._losses: dict[str, list[LostRequest]] = {}
+        self._answers_s: dict[str, float] = {}
+        self._suspended: dict[str, RequestCrashes] = {}
+
+    def __len__(self) -> int:
+        return len(self._losses)
+
+    def suspended(self) -> list[RequestCrashes]:
+        """Return the requests that are suspended."""
+        return list(self._suspended.values())
+
+    def suspended_without(
+        self, explained: Callable[[LostRequest], bool]
+    ) -> list[RequestCrashes]:
+        """Return those that are suspended also without explained losses."""
+        remaining = (
+            self._count(key, [x for x in self._losses[key] if not explained(x)])
+            for key in self._suspended
+        )
+        return [request for request in remaining if request is not None]
+
+    def repeated_losses(self) -> list[LostRequest]:
+        """Return the losses of the requests that were lost more than once."""
+        return [
+            loss
+            for losses in self._losses.values()
+            if len(losses) > 1
+            for loss in losses
+        ]
+
+    def has_loss(self, fingerprint: str, until_s: float) -> bool:
+        """Return whether the request was lost since its last answer."""
+        return any(x.at_s <= until_s for x in self._losses.get(fingerprint, ()))
+
+    def record_loss(self, fingerprint: str, loss: LostRequest) -> None:
+        """Record that the request was lost in a crash."""
+        if loss.at_s <= self._answers_s.get(fingerprint, -math.inf):
+            return
+        losses = [*self._losses.get(fingerprint, ()), loss]
+        losses.sort(key=lambda x: (x.at_s, x.source))
+        self._losses[fingerprint] = losses[-MAX_LOSSES_OF_A_REQUEST:]
+        self._assess(fingerprint)
+        if len(self._losses) > MAX_REQUESTS:
+            self._drop_one()
+
+    def record_answer(self, fingerprint: str, at_s: float) -> None:
+        """Record that the request was answered, so that earlier losses don't count."""
+        if at_s <= self._answers_s.get(fingerprint, -math.inf):
+            return
+        self._answers_s.pop(fingerprint, None)
+        self._answers_s[fingerprint] = at_s
+        if len(self._answers_s) > MAX_REQUESTS:
+            del self._answers_s[next(iter(self._answers_s))]
+        if fingerprint in self._losses:
+            self._keep_after(fingerprint, at_s)
+
+    def expire(self, before_s: float) -> None:
+        """Forget what is older."""
+        self._answers_s = {k: s for k, s in self._answers_s.items() if s >= before_s}
+        for fingerprint in list(self._losses):
+            self._keep_after(fingerprint, before_s)
+
+    def _keep_after(self, fingerprint: str, at_s: float) -> None:
+        kept = [loss for loss in self._losses[fingerprint] if loss.at_s > at_s]
+        if kept:
+            self._losses[fingerprint] = kept
+            self._assess(fingerprint)
+        else:
+            self._forget(fingerprint)
+
+    def _forget(self, fingerprint: str) -> None:
+        del self._losses[fingerprint]
+        self._suspended.pop(fingerprint, None)
+
+    def _drop_one(self) -> None:
+        """Forget the request that was lost first, but last those that are suspended."""
+        others = (key for key in self._losses if key not in self._suspended)
+        self._forget(next(others, next(iter(self._losses))))
+
+    def _assess(self, fingerprint: str) -> None:
+        """Find out whether the request is suspended."""
+        request = self._count(fingerprint, self._losses[fingerprint])
+        if request is None:
+            self._suspended.pop(fingerprint, None)
+        else:
+            self._suspended[fingerprint] = request
+
+    def _count(
+        self, fingerprint: str, losses: list[LostRequest]
+    ) -> RequestCrashes | None:
+        """Return the crashes among losses in the order of their time, if enough."""
+        if not losses:
+            return None
+        answered_s = self._answers_s.get(fingerprint, -math.inf)
+        if answered_s >= losses[0].at_s - ANSWERED_BEFORE_S:
+            crashes, needed = _moments(losses), MIN_MOMENTS_IF_ANSWERED
+        else:
+            crashes, needed = _crashes(losses), MIN_CRASHES
+        if crashes < needed:
+            return None
+        return RequestCrashes(fingerprint, crashes, losses[-1].at_s)
+
+
+def _crashes(losses: list[LostRequest]) -> int:
+    """Return the number of crashes among losses in the order of their time."""
+    count = 0
+    first_s: dict[str, float] = {}
+    for loss in losses:
+        endpoint = loss.endpoint.endpoint
+        if loss.at_s - first_s.get(endpoint, -math.inf) > CRASH_SPAN_S:
+            first_s[endpoint] = loss.at_s
+            count += 1
+    return count
+
+
+def _moments(losses: list[LostRequest]) -> int:
+    """Return the number of crash moments among losses in the order of their time."""
+    count = 0
+    first_s = -math.inf
+    for loss in losses:
+        if loss.at_s - first_s > MOMENT_S:
+            first_s = loss.at_s
+            count += 1
+    return count
