Let no verdict on a whole request explain the losses of another one

The search gives a whole request its companions, so {part, request} explained the losses of requests without it: two bad requests with a part in common could still hide each other. Found by the unit test of two requests once the part alone was no candidate. Only verdicts on parts alone explain losses now, and whole requests come from RequestLosses only.

--- a/src/shallotroad/policy/crash_correlation.py
+++ b/src/shallotroad/policy/crash_correlation.py
@@ -378,6 +378,7 @@
             return any(
                 lost.endpoint in explained and not verdict.keys <= set(lost.keys)
                 for verdict, explained in found
+                if not any(map(is_fingerprint, verdict.keys))
             )
 
         requests = self._request_losses.suspended_without(is_explained)
@@ -400,7 +401,7 @@
         """Return the parts that explain the crashes, and which crashes these are.
 
         Those with most evidence come first. The crashes that a key explains are not
-        counted for the others. Keys of a whole request alone are left out, as
+        counted for the others. Whole requests that explain crashes are left out, as
         ``RequestLosses`` has them.
         """
         crash_times_s: dict[Incarnation, float] = {}
@@ -431,7 +432,7 @@
                 break
             lead, keys = found
             explained = {loss.endpoint for loss in losses if keys <= loss.keys}
-            if not all(map(is_fingerprint, keys)):
+            if not is_fingerprint(lead):
                 verdict = Verdict(
                     lead=lead,
                     keys=keys,
