Blame no part for the crashes of suspended whole requests

Class of fault: a common factor is taken for the cause.

Change: moments in which a suspended request was lost don't count for a part that is proven, and are not all of the moments of one that is not. A deadly part still needs only one crash without the suspended request.

--- a/src/shallotroad/policy/crash_correlation.py
+++ b/src/shallotroad/policy/crash_correlation.py
@@ -425,9 +425,17 @@
             if key in self._proofs
             and self._proofs[key].at_s >= first_s - PROVEN_BEFORE_S
         }
+        suspended = {
+            request.fingerprint for request in self._request_losses.suspended()
+        }
+        by_requests = {
+            moments[lost.endpoint]
+            for lost in self._lost.values()
+            if not suspended.isdisjoint(lost.keys)
+        }
         verdicts: list[tuple[Verdict, set[Incarnation]]] = []
         for _ in range(MAX_VERDICTS):
-            found = _strongest(losses, proven)
+            found = _strongest(losses, proven, by_requests)
             if found is None:
                 break
             lead, keys = found
@@ -471,9 +479,13 @@
 
 
 def _strongest(
-    losses: list[OpenLoss], proven: set[str]
+    losses: list[OpenLoss], proven: set[str], by_requests: set[int]
 ) -> tuple[str, frozenset[str]] | None:
-    """Return the key with the most evidence and all keys of its verdict, if any."""
+    """Return the key with the most evidence and all keys of its verdict, if any.
+
+    The moments ``by_requests``, in which suspended whole requests were lost, don't
+    count for a part that is proven, and are not enough for another one.
+    """
     losses_of: dict[str, set[int]] = defaultdict(set)
     moments_of: dict[str, set[int]] = defaultdict(set)
     for number, loss in enumerate(losses):
@@ -483,7 +495,7 @@
     candidates = [
         key
         for key, moments in moments_of.items()
-        if len(moments) >= (MIN_CRASHES_IF_PROVEN if key in proven else MIN_CRASHES)
+        if _is_enough(key, moments, proven, by_requests)
     ]
     if not candidates:
         return None
@@ -511,6 +523,17 @@
     return lead, _with_companions(lead, shared, proven)
 
 
+def _is_enough(
+    key: str, moments: set[int], proven: set[str], by_requests: set[int]
+) -> bool:
+    """Return whether a key was lost at enough moments."""
+    if is_fingerprint(key):
+        by_requests = set()
+    if key in proven:
+        return len(moments - by_requests) >= MIN_CRASHES_IF_PROVEN
+    return len(moments) >= MIN_CRASHES and not moments <= by_requests
+
+
 def _with_companions(
     lead: str, losses: list[OpenLoss], proven: set[str]
 ) -> frozenset[str]:
--- a/tests/unit/policy/test_crash_correlation.py
+++ b/tests/unit/policy/test_crash_correlation.py
@@ -119,6 +119,17 @@
         assert {"request:one"} in suspended(correlation)
 
 
+# Guards against a sound part that is blamed for the crashes of whole requests.
+def test_a_part_is_not_blamed_for_the_crashes_of_a_suspended_request() -> None:
+    correlation = CrashCorrelation(source="g")
+    for number in range(4):
+        requests = ["part request:bad", f"part request:{number}"]
+        crash(correlation, number, NOW_S + number, *requests)
+    assert suspended(correlation) == [{"request:bad"}]
+    crash(correlation, 4, NOW_S + 4, "part request:4")
+    assert suspended(correlation) == [{"request:bad"}, {"part"}]
+
+
 def test_a_bystander_of_every_crash_is_explained_by_the_deadly_part() -> None:
     correlation = CrashCorrelation(source="g")
     for number in range(4):
