Take only a complete response for a proof of a whole request

Callers' streams were cut again and again by a request whose engine crashes 0.7 s after its first event: 52 arrivals where 3 are allowed.

Class of fault: the start of an answer is taken for its success.

Ruled out: a crash 0.3 s after the first event was found before, and still is.

Change: events prove the prompt parts, which the engine has read by then; the whole request is proven by its complete response only. Streams that had begun are recorded with their fingerprint alone.

--- a/src/shallotroad/gateway/crash_monitor.py
+++ b/src/shallotroad/gateway/crash_monitor.py
@@ -37,16 +37,18 @@
     from shallotroad.policy.crash_correlation import CrashCorrelation
     from shallotroad.policy.crash_correlation import Verdict
 
-# An attempt is proven once its stream has gone on for this long after the first event,
-# or its response is complete: what it sent did not crash the endpoint.
+# The prompt parts of an attempt are proven once its stream has gone on for this long
+# after the first event: the endpoint has read them and did not crash. The whole request
+# is proven only by its complete response.
 PROOF_S = 0.5
 # The connections that a crash ends are lost within this time of each other.
 CONFIRMATION_DELAY_S = 0.05
 CONNECT_TIMEOUT_S = 0.4
 # Requests that one log line names.
 MAX_LOGGED_REQUESTS = 8
-# Lost requests of one crash whose keys are kept.
-MAX_LOST_REQUESTS = 40
+# Lost requests of one crash whose parts are kept, and all whose fingerprint is.
+MAX_LOST_PROMPTS = 40
+MAX_LOST_REQUESTS = 256
 # Longer names of prompt parts are replaced by a digest.
 MAX_KEY_LENGTH = 40
 # Time from a verdict to its effect, in which losses at other gateways become known that
@@ -58,11 +60,14 @@
 
 
 class LostAttempt(NamedTuple):
-    """An attempt that ended with its connection."""
+    """An attempt that ended with its connection.
+
+    ``parts_proven`` says whether its prompt parts were proven before.
+    """
 
     job: Job
     lost_s: float
-    proven: bool
+    parts_proven: bool
 
 
 def prompt_keys(job: Job) -> tuple[str, ...]:
@@ -114,7 +119,7 @@
         self._monitor = monitor
         self.job = job
         self.record = record
-        self.proven = False
+        self.parts_proven = False
 
     @property
     def incarnation(self) -> Incarnation:
@@ -123,17 +128,14 @@
 
     def record_events(self, since_first_event_s: float) -> None:
         """Record events that arrived so long after the first one."""
-        if since_first_event_s >= PROOF_S:
-            self._record_proof()
+        if since_first_event_s >= PROOF_S and not self.parts_proven:
+            self.parts_proven = True
+            self._monitor.record_proof(prompt_keys(self.job))
 
     def record_complete(self) -> None:
         """Record a complete response whose end the connection has outlived."""
-        self._record_proof()
-
-    def _record_proof(self) -> None:
-        if not self.proven:
-            self.proven = True
-            self._monitor.record_answer(self.job)
+        self.parts_proven = True
+        self._monitor.record_answer(self.job)
 
     def record_connection_lost(self) -> None:
         """Record that the connection ended before the response."""
@@ -193,6 +195,10 @@
         keys = prompt_keys(job)
         if self._correlation.has_losses:
             keys = (*keys, fingerprint(job))
+        self.record_proof(keys)
+
+    def record_proof(self, keys: tuple[str, ...]) -> None:
+        """Record that an endpoint ran what has these keys and went on running."""
         facts = self._correlation.record_answer(keys, self._clock())
         if facts:
             self._exchange.publish(facts)
@@ -206,7 +212,7 @@
             task = asyncio.create_task(self._classify(watch.record))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        lost.append(LostAttempt(watch.job, self._clock(), watch.proven))
+        lost.append(LostAttempt(watch.job, self._clock(), watch.parts_proven))
 
     async def _classify(self, record: EndpointRecord) -> None:
         """Find out why the connections to an endpoint were lost, and record it."""
@@ -221,13 +227,14 @@
             lost = self._lost.pop(incarnation)
         cause = "reset" if accepts else "leaving" if record.draining else "crash"
         self._metrics.endpoint_losses.inc({"cause": cause})
-        unproven = [attempt.job for attempt in lost if not attempt.proven]
+        unproven = [attempt.job for attempt in lost if not attempt.parts_proven]
+        started = [attempt.job for attempt in lost if attempt.parts_proven]
         log_event(
             "endpoint crashed" if cause == "crash" else "endpoint connections lost",
             endpoint=record.identifier,
             started_at_ms=record.started_at_ms,
             cause=cause,
-            proven=len(lost) - len(unproven),
+            proven=len(started),
             unproven=[
                 {
                     "request": job.request.request_id,
@@ -236,10 +243,14 @@
                 for job in unproven[:MAX_LOGGED_REQUESTS]
             ],
         )
-        if cause == "crash" and unproven:
+        if cause == "crash":
             requests = [
                 (*prompt_keys(job), fingerprint(job))
-                for job in unproven[:MAX_LOST_REQUESTS]
+                for job in unproven[:MAX_LOST_PROMPTS]
+            ]
+            requests += [
+                (fingerprint(job),)
+                for job in [*unproven[MAX_LOST_PROMPTS:], *started][:MAX_LOST_REQUESTS]
             ]
             facts = self._correlation.record_crash(
                 incarnation, requests, lost[0].lost_s
--- a/src/shallotroad/policy/crash_correlation.py
+++ b/src/shallotroad/policy/crash_correlation.py
@@ -68,7 +68,8 @@
 class LostRequest(NamedTuple):
     """A request that was lost in a crash before it had proven itself.
 
-    ``source`` identifies the fact; ``at_s`` is the monotonic time of the loss.
+    ``source`` identifies the fact; ``at_s`` is the monotonic time of the loss. The keys
+    are those that were not proven: not the parts of a stream that had begun.
     """
 
     source: str
@@ -76,6 +77,11 @@
     keys: tuple[str, ...]
     at_s: float
 
+    @property
+    def has_parts(self) -> bool:
+        """Whether it counts for prompt parts, not only for the whole request."""
+        return not all(map(is_fingerprint, self.keys))
+
 
 class Proof(NamedTuple):
     """A request with the key was answered at ``at_s``; earlier crashes do not count."""
@@ -200,6 +206,18 @@
         """Whether any lost request is known."""
         return bool(self._lost or self._request_losses)
 
+    def is_repeated(self, fact: Fact) -> bool:
+        """Return whether the whole request of a fact was lost more than once."""
+        keys = fact.keys if isinstance(fact, LostRequest) else (fact.key,)
+        return any(len(self._request_losses.losses(key)) > 1 for key in keys)
+
+    def first_loss(self, fact: LostRequest) -> list[LostRequest]:
+        """Return the first loss of a request whose second loss is the fact."""
+        losses = [x for key in fact.keys for x in self._request_losses.losses(key)]
+        return (
+            [x for x in losses if x.source != fact.source] if len(losses) == 2 else []
+        )
+
     def facts(self, limit: int, now_s: float) -> list[Fact]:
         """Return known facts, first those that verdicts rest on, then the newest."""
         suspended = [verdict.keys for verdict in self.verdicts(now_s)]
@@ -249,11 +267,14 @@
             return []
         if isinstance(fact, LostRequest):
             self._remember(fact)
+            for key in filter(is_fingerprint, fact.keys):
+                self._request_losses.record_loss(key, fact)
+            if not fact.has_parts:
+                self._stale = True
+                return [fact, *self._earlier_proofs(fact)]
             self._lost[fact.source] = fact
             self._lost_keys.update(fact.keys)
             self._drop_surplus_losses()
-            for key in filter(is_fingerprint, fact.keys):
-                self._request_losses.record_loss(key, fact)
             self._stale = True
             return [fact, *self._earlier_proofs(fact)]
         if isinstance(fact, Proof):
--- a/src/shallotroad/policy/request_losses.py
+++ b/src/shallotroad/policy/request_losses.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from shallotroad.policy.crash_correlation import LostRequest
 
@@ -77,6 +78,10 @@
             for loss in losses
         ]
 
+    def losses(self, fingerprint: str) -> Sequence[LostRequest]:
+        """Return the losses of a request since its last answer."""
+        return self._losses.get(fingerprint, ())
+
     def has_loss(self, fingerprint: str, until_s: float) -> bool:
         """Return whether the request was lost since its last answer."""
         return any(x.at_s <= until_s for x in self._losses.get(fingerprint, ()))
--- a/tests/unit/gateway/test_crash_exchange.py
+++ b/tests/unit/gateway/test_crash_exchange.py
@@ -11,6 +11,7 @@
 
 from shallotroad.gateway.crash_exchange import FACTS_PER_DATAGRAM
 from shallotroad.gateway.crash_exchange import FAN_OUT
+from shallotroad.gateway.crash_exchange import KEEPERS
 from shallotroad.policy.crash_correlation import Incarnation
 from tests.crash_builders import LossyNetwork
 from tests.crash_builders import loop_time
@@ -96,3 +97,42 @@
     gateway = network.gateways["g0"]
     gateway.exchange.merge(rows)
     assert gateway.exchange.rows() == []
+
+
+# Guards against a power loss whose thousands of lost streams are told to all gateways.
+async def test_the_first_loss_of_a_request_is_sent_to_its_keepers_only() -> None:
+    network = LossyNetwork(count=68, delay_s=0.02, seed=1)
+    gateway = network.gateways["g0"]
+    streams = [(f"request:{number:024}",) for number in range(200)]
+    facts = gateway.correlation.record_crash(Incarnation("e1", 1), streams, loop_time())
+    gateway.exchange.publish(facts)
+    await asyncio.sleep(1.0)
+    # Each keeper tells the other keepers, as it can't know that they were told.
+    assert network.datagrams <= KEEPERS * KEEPERS * len(streams)
+    knowing = [g for g in network.gateways.values() if g.correlation.has_losses]
+    assert len(knowing) > KEEPERS
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.1])
+@pytest.mark.parametrize("gateways", [2, 5, 68, 300])
+async def test_losses_at_different_gateways_suspend_a_request_at_all(
+    gateways: int, loss: float
+) -> None:
+    network = LossyNetwork(count=gateways, delay_s=0.02, loss=loss, seed=3)
+    for number in range(3):
+        await asyncio.sleep(1.0)
+        noticing = network.gateways[f"g{number % gateways}"]
+        facts = noticing.correlation.record_crash(
+            Incarnation(f"e{number}", 1), [("request:bad",)], loop_time()
+        )
+        noticing.exchange.publish(facts)
+    for _ in range(2):
+        await asyncio.sleep(CONVERGENCE_S / 2)
+        network.exchange_round()
+    lacking = [
+        name
+        for name, gateway in network.gateways.items()
+        if not gateway.correlation.verdicts(loop_time())
+    ]
+    assert lacking == []
+    assert network.largest_datagram <= MAX_DATAGRAM_BYTES
