Log the key of each request that is lost in a crash

The lines on crashes named the lost requests but not their fingerprints, so the evidence of a suspension could not be found without the requests' bodies, and streams that had begun were only counted.

--- a/src/shallotroad/gateway/crash_monitor.py
+++ b/src/shallotroad/gateway/crash_monitor.py
@@ -96,6 +96,17 @@
     return hashlib.blake2b(data, digest_size=12).hexdigest()
 
 
+def _requests_for_log(jobs: list[Job]) -> list[dict[str, object]]:
+    return [
+        {
+            "request": job.request.request_id,
+            "parts": [part.identifier for part in job.profile.parts[:-1]],
+            "key": fingerprint(job),
+        }
+        for job in jobs[:MAX_LOGGED_REQUESTS]
+    ]
+
+
 def _keys_for_log(verdict: Verdict) -> list[str]:
     return sorted(verdict.keys)
 
@@ -235,13 +246,8 @@
             started_at_ms=record.started_at_ms,
             cause=cause,
             proven=len(started),
-            unproven=[
-                {
-                    "request": job.request.request_id,
-                    "parts": [part.identifier for part in job.profile.parts[:-1]],
-                }
-                for job in unproven[:MAX_LOGGED_REQUESTS]
-            ],
+            unproven=_requests_for_log(unproven),
+            started=_requests_for_log(started),
         )
         if cause == "crash":
             requests = [
