Record requests that are lost without a reset or at a leaving endpoint

A silent attempt ends by its time limit or because its caller leaves, before the kernel's probes find the connection dead after 3 s. Class of fault: evidence is tied to one way of failing.

Change: an attempt that is given up after a second without any event is lost if its endpoint accepts no connection, which it is asked once a second at most. Such losses, and those at leaving endpoints, count for the whole request only: whatever runs there may be lost, so no prompt part is suspected.

--- a/src/shallotroad/gateway/crash_monitor.py
+++ b/src/shallotroad/gateway/crash_monitor.py
@@ -2,8 +2,9 @@
 
 A crash and the reset of a connection both end an attempt with ``ConnectionLostError``.
 After a crash, the endpoint's address accepts no connection until the endpoint has
-started again; after a reset it does. ``CrashCorrelation`` finds what the requests lost
-in crashes have in common.
+started again; after a reset it does. An endpoint that loses power ends no connection:
+its attempts stay silent until they time out or their callers leave.
+``CrashCorrelation`` finds what the requests lost in crashes have in common.
 """
 
 from __future__ import annotations
@@ -44,6 +45,10 @@
 # The connections that a crash ends are lost within this time of each other.
 CONFIRMATION_DELAY_S = 0.05
 CONNECT_TIMEOUT_S = 0.4
+# An attempt without any event for this long may be at an endpoint without power.
+SILENCE_S = 1.0
+# An endpoint is asked at most once in this time whether it accepts connections.
+MIN_ASKING_INTERVAL_S = 1.0
 # Requests that one log line names.
 MAX_LOGGED_REQUESTS = 8
 # Lost requests of one crash whose parts are kept, and all whose fingerprint is.
@@ -60,14 +65,23 @@
 
 
 class LostAttempt(NamedTuple):
-    """An attempt that ended with its connection.
+    """An attempt that ended with its connection, or without any event.
 
-    ``parts_proven`` says whether its prompt parts were proven before.
+    ``parts_proven`` says whether its prompt parts were proven before, ``silent``
+    whether its connection had not ended.
     """
 
     job: Job
     lost_s: float
     parts_proven: bool
+    silent: bool
+
+
+class AskedEndpoint(NamedTuple):
+    """Whether an endpoint accepted a connection, and when it was asked."""
+
+    at_s: float
+    accepts: bool
 
 
 def prompt_keys(job: Job) -> tuple[str, ...]:
@@ -96,6 +110,16 @@
     return hashlib.blake2b(data, digest_size=12).hexdigest()
 
 
+def _cause(lost: list[LostAttempt], *, accepts: bool, draining: bool) -> str:
+    """Return why attempts at an endpoint were lost; empty if they were only slow."""
+    silent = all(attempt.silent for attempt in lost)
+    if accepts:
+        return "" if silent else "reset"
+    if draining:
+        return "leaving"
+    return "silent" if silent else "crash"
+
+
 def _requests_for_log(jobs: list[Job]) -> list[dict[str, object]]:
     return [
         {
@@ -150,7 +174,12 @@
 
     def record_connection_lost(self) -> None:
         """Record that the connection ended before the response."""
-        self._monitor.record_connection_lost(self)
+        self._monitor.record_lost(self, silent=False)
+
+    def record_silence(self, since_sent_s: float) -> None:
+        """Record that the attempt was given up so long after it was sent, no event."""
+        if since_sent_s >= SILENCE_S:
+            self._monitor.record_lost(self, silent=True)
 
 
 class CrashMonitor:
@@ -187,6 +216,7 @@
         self._clock = clock
         self._accepts = accepts
         self._lost: dict[Incarnation, list[LostAttempt]] = {}
+        self._asked: dict[str, AskedEndpoint] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._suspended: dict[frozenset[str], Verdict] = {}
         self._suspended_since_s: dict[frozenset[str], float] = {}
@@ -215,28 +245,52 @@
             self._exchange.publish(facts)
             self._update_verdicts()
 
-    def record_connection_lost(self, watch: AttemptWatch) -> None:
+    def record_lost(self, watch: AttemptWatch, *, silent: bool) -> None:
         """Note a lost attempt; the first of an endpoint starts the classification."""
+        now_s = self._clock()
         lost = self._lost.get(watch.incarnation)
         if lost is None:
             lost = self._lost[watch.incarnation] = []
             task = asyncio.create_task(self._classify(watch.record))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        lost.append(LostAttempt(watch.job, self._clock(), watch.parts_proven))
+        lost.append(LostAttempt(watch.job, now_s, watch.parts_proven, silent))
+
+    async def _accepts_connections(
+        self, record: EndpointRecord, lost: list[LostAttempt]
+    ) -> bool:
+        """Return whether an endpoint accepts connections.
+
+        A recent answer is enough for silent attempts, which end one by one.
+        """
+        now_s = self._clock()
+        asked = self._asked.get(record.identifier)
+        recent = asked is not None and now_s - asked.at_s <= MIN_ASKING_INTERVAL_S
+        if asked is not None and recent and all(attempt.silent for attempt in lost):
+            return asked.accepts
+        accepts = await self._accepts(record.host, record.port)
+        self._asked = {
+            name: answer
+            for name, answer in self._asked.items()
+            if now_s - answer.at_s <= MIN_ASKING_INTERVAL_S
+        }
+        self._asked[record.identifier] = AskedEndpoint(now_s, accepts)
+        return accepts
 
     async def _classify(self, record: EndpointRecord) -> None:
-        """Find out why the connections to an endpoint were lost, and record it."""
+        """Find out why attempts at an endpoint were lost, and record it."""
         incarnation = Incarnation(record.identifier, record.started_at_ms)
         try:
             await asyncio.sleep(CONFIRMATION_DELAY_S)
-            accepts = await self._accepts(record.host, record.port)
+            accepts = await self._accepts_connections(record, self._lost[incarnation])
         except Exception:
             logger.exception("lost connections are not classified")
             accepts = True
         finally:
             lost = self._lost.pop(incarnation)
-        cause = "reset" if accepts else "leaving" if record.draining else "crash"
+        cause = _cause(lost, accepts=accepts, draining=record.draining)
+        if not cause:
+            return
         self._metrics.endpoint_losses.inc({"cause": cause})
         unproven = [attempt.job for attempt in lost if not attempt.parts_proven]
         started = [attempt.job for attempt in lost if attempt.parts_proven]
@@ -249,20 +303,20 @@
             unproven=_requests_for_log(unproven),
             started=_requests_for_log(started),
         )
-        if cause == "crash":
-            requests = [
-                (*prompt_keys(job), fingerprint(job))
-                for job in unproven[:MAX_LOST_PROMPTS]
-            ]
-            requests += [
-                (fingerprint(job),)
-                for job in [*unproven[MAX_LOST_PROMPTS:], *started][:MAX_LOST_REQUESTS]
-            ]
-            facts = self._correlation.record_crash(
-                incarnation, requests, lost[0].lost_s
-            )
-            self._exchange.publish(facts)
-            self._update_verdicts()
+        if cause == "reset":
+            return
+        # Whatever runs at an endpoint that leaves or can't be reached may be lost
+        # there, so its parts are not suspected, but a whole request that is lost again
+        # and again is.
+        prompts = unproven[:MAX_LOST_PROMPTS] if cause == "crash" else []
+        requests = [(*prompt_keys(job), fingerprint(job)) for job in prompts]
+        requests += [
+            (fingerprint(job),)
+            for job in [*unproven[len(prompts) :], *started][:MAX_LOST_REQUESTS]
+        ]
+        facts = self._correlation.record_crash(incarnation, requests, lost[0].lost_s)
+        self._exchange.publish(facts)
+        self._update_verdicts()
 
     def check(self, job: Job) -> None:
         """Raise ``RefusedError`` if a job is suspended and this is not its trial.
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -443,12 +443,15 @@
         except TimeoutError:
             if not progress.started_s:
                 progress.failure = 1.0
+                progress.watch.record_silence(self._clock() - progress.sent_s)
             raise AttemptOutcomeUnknownError("no answer in time") from None
         except NotRunError:
             progress.failure = NOT_RUN_FAILURE_WEIGHT
             raise
         except asyncio.CancelledError:
             job.possible_runs += int(may_have_run)
+            if may_have_run and not progress.started_s:
+                progress.watch.record_silence(self._clock() - progress.sent_s)
             raise
         finally:
             if connection is not None:
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -28,6 +28,10 @@
 STREAM_S = (0.2, 3.0)
 GOSSIP_INTERVAL_S = 0.6
 MAX_ATTEMPTS = 2
+# Time after which a caller leaves a stream without an event, and after which probes of
+# the kernel end a connection without a peer.
+PATIENCE_S = 2.0
+DEAD_CONNECTION_S = 3.0
 # Time after which a caller whose request failed sends it again.
 REPEAT_S = (0.2, 1.5)
 
@@ -80,6 +84,9 @@
         Whether the gateways learn of the new start of an engine.
     draining : bool
         Whether the engines have announced that they leave.
+    silent : bool
+        Whether the engines end no connection when they crash. A caller leaves then if
+        no event has arrived, and the gateway's probes find a stream's connection dead.
     """
 
     def __init__(self, *, gateways: int, engines: int, seed: int) -> None:
@@ -97,6 +104,7 @@
         self.crash_delay_s = 0.0
         self.store_reachable = True
         self.draining = False
+        self.silent = False
         self.body_crashes_s: dict[bytes, list[float]] = defaultdict(list)
         self.arrivals: list[Arrival] = []
         self.crash_times_s: list[float] = []
@@ -207,34 +215,51 @@
         lost = engine.lost
         parts = {part.identifier for part in job.profile.parts}
         deadly = bool(self.deadly & parts) or job.body in self.deadly_bodies
-        if await self._lost_within(lost, self.rng.uniform(*FIRST_EVENT_S)):
-            watch.record_connection_lost()
+        first_event_s = self.rng.uniform(*FIRST_EVENT_S)
+        sent_s = loop_time()
+        if await self._lost_within(lost, first_event_s):
+            await self._end_without_event(watch, sent_s)
             return False
         if deadly and not self.crash_delay_s:
-            await self._crash(engine, job, watch)
+            await self._crash(engine, job)
+            await self._end_without_event(watch, sent_s)
             return False
         rest_s = self.crash_delay_s if deadly else self.rng.uniform(*STREAM_S)
         if await self._lost_within(lost, min(rest_s, PROOF_S)):
-            watch.record_connection_lost()
+            await self._end_stream(watch)
             return False
         if rest_s > PROOF_S:
             watch.record_events(PROOF_S)
         if await self._lost_within(lost, max(0.0, rest_s - PROOF_S)):
-            watch.record_connection_lost()
+            await self._end_stream(watch)
             return False
         if deadly:
-            await self._crash(engine, job, watch)
+            await self._crash(engine, job)
+            await self._end_stream(watch)
             return False
         watch.record_complete()
         return True
 
-    async def _crash(self, engine: Engine, job: Job, watch: AttemptWatch) -> None:
+    async def _crash(self, engine: Engine, job: Job) -> None:
         """Let a job crash the engine that runs it."""
         self.crash_times_s.append(loop_time())
         if job.body in self.deadly_bodies:
             self.body_crashes_s[job.body].append(loop_time())
         self.start(engine.crash())
         await asyncio.sleep(0)
+
+    async def _end_without_event(self, watch: AttemptWatch, sent_s: float) -> None:
+        """End an attempt whose engine was lost before the first event."""
+        if self.silent:
+            await asyncio.sleep(sent_s + PATIENCE_S - loop_time())
+            watch.record_silence(PATIENCE_S)
+        else:
+            watch.record_connection_lost()
+
+    async def _end_stream(self, watch: AttemptWatch) -> None:
+        """End an attempt whose engine was lost after the first event."""
+        if self.silent:
+            await asyncio.sleep(DEAD_CONNECTION_S)
         watch.record_connection_lost()
 
     async def _lost_within(self, lost: asyncio.Event, time_s: float) -> bool:
--- a/tests/unit/gateway/test_crash_monitor.py
+++ b/tests/unit/gateway/test_crash_monitor.py
@@ -25,6 +25,11 @@
     return VirtualTimePolicy()
 
 
+def counted_losses(fixture: CrashFixture) -> dict[str, int]:
+    losses = fixture.metrics.endpoint_losses.get_all()
+    return {labels["cause"]: int(count) for labels, count in losses}
+
+
 @pytest.mark.parametrize(
     ("accepts", "draining", "cause"),
     [(False, False, "crash"), (False, True, "leaving"), (True, False, "reset")],
@@ -44,6 +49,25 @@
     assert fixture.metrics.endpoint_losses.get({"cause": cause}) == 1
 
 
+@pytest.mark.parametrize(
+    ("accepts", "since_sent_s", "lost"),
+    [(False, 2.0, True), (True, 2.0, False), (False, 0.5, False)],
+)
+async def test_a_silent_attempt_is_lost_if_its_endpoint_accepts_no_connection(
+    *, accepts: bool, since_sent_s: float, lost: bool
+) -> None:
+    async def answer(host: str, port: int) -> bool:
+        return accepts
+
+    fixture = make_crash_fixture(accepts=answer)
+    for _ in range(3):
+        watch = fixture.monitor.watch(make_gateway_job(), make_record())
+        watch.record_silence(since_sent_s)
+    await asyncio.sleep(2 * CONFIRMATION_DELAY_S)
+    expected = {"silent": 1} if lost else {}
+    assert counted_losses(fixture) == expected
+
+
 async def crash_three_engines(fixture: CrashFixture, part: str) -> None:
     """Lose a request of its own with a part in three crashes, a second apart."""
     for number in range(3):
--- a/tests/unit/gateway/test_whole_request_that_crashes_engines.py
+++ b/tests/unit/gateway/test_whole_request_that_crashes_engines.py
@@ -61,6 +61,8 @@
     "starts-unknown": Case(engines=3, settings={"store_reachable": False}),
     "starts-unknown-two-engines": Case(engines=2, settings={"store_reachable": False}),
     "leaving": Case(settings={"draining": True}),
+    "silent": Case(settings={"silent": True}),
+    "silent-eight": Case(bad=8, every_s=0.5, settings={"silent": True}),
     "leaving-eight": Case(bad=8, every_s=0.5, settings={"draining": True}),
 }
 
