Try a suspended whole request once, and only when it is sent

A trial was also used up when no endpoint had room for it.

Change: a whole request is tried once. The trial begins when the request is placed, not when it is first looked at. Parts keep their three trials: each is another request.

Two separate views, before | after: 3 and 3 | 1 and 1. Real processes: test_a_whole_request_that_crashes_engines_stops_reaching_them holds.

--- a/src/shallotroad/gateway/crash_monitor.py
+++ b/src/shallotroad/gateway/crash_monitor.py
@@ -318,10 +318,11 @@
         self._exchange.publish(facts)
         self._update_verdicts()
 
-    def check(self, job: Job) -> None:
+    def check(self, job: Job, *, placed: bool = True) -> None:
         """Raise ``RefusedError`` if a job is suspended and this is not its trial.
 
-        Called before each attempt is placed and again before it is sent.
+        Called before each attempt is placed and again before it is sent, with
+        ``placed``: a trial begins only then, as there may be no room for it.
         """
         if not self._suspended and not self._correlation.has_losses:
             return
@@ -345,6 +346,8 @@
                         MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, trial_s - now_s)
                     ),
                 )
+        if not placed:
+            return
         for verdict in verdicts:
             job.trial_attempt = len(job.attempts)
             log_event(
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -238,7 +238,7 @@
         if splitter is not None and splitter.started:
             job.interrupted_s = self._clock()
         try:
-            self._crash_monitor.check(job)
+            self._crash_monitor.check(job, placed=False)
             placement = await self._placement_client.place(job)
             try:
                 self._crash_monitor.check(job)
--- a/src/shallotroad/policy/crash_correlation.py
+++ b/src/shallotroad/policy/crash_correlation.py
@@ -52,6 +52,9 @@
 # still crashes endpoints. The time before the first is doubled for each further one.
 MAX_TRIALS_OF_A_KEY = 3
 FIRST_TRIAL_DELAY_S = 10.0
+# A trial of a part is a request of its own each time. That of a whole request risks an
+# endpoint for one caller's answer.
+MAX_TRIALS_OF_A_REQUEST = 1
 FINGERPRINT_PREFIX = "request:"
 
 
@@ -114,6 +117,13 @@
     crashes: int
     last_crash_s: float
 
+    @property
+    def max_trials(self) -> int:
+        """Number of its requests that may be let through while it holds."""
+        if is_fingerprint(self.lead):
+            return MAX_TRIALS_OF_A_REQUEST
+        return MAX_TRIALS_OF_A_KEY
+
 
 class OpenLoss(NamedTuple):
     """A lost request with those of its keys that no later answer has proven."""
@@ -370,7 +380,7 @@
     def next_trial_s(self, verdict: Verdict) -> float:
         """Return when a request may be let through; infinity after the last trial."""
         count = self._trial_count(verdict)
-        if count >= MAX_TRIALS_OF_A_KEY:
+        if count >= verdict.max_trials:
             return math.inf
         trials = [self._trials[key] for key in verdict.keys if key in self._trials]
         last_s = max([verdict.last_crash_s, *(trial.at_s for trial in trials)])
--- a/tests/processes/test_part_that_crashes_engines.py
+++ b/tests/processes/test_part_that_crashes_engines.py
@@ -105,3 +105,39 @@
         await send(harness, number, f"shared:300,deadly:50,own{number}:90")
         await asyncio.sleep(INTERVAL_S)
     assert count_crashes(harness) <= ENGINES
+
+
+# Guards against a request under which three engines had ended and that is sent to
+# further ones when it comes again, at any gateway.
+async def test_a_whole_request_that_crashes_engines_stops_reaching_them(
+    harness: GatewayHarness,
+) -> None:
+    parts = "shared:300,own:90"
+    for endpoint in harness.endpoints.values():
+        endpoint.deadly_part = "own"
+    for number in range(20):
+        response = await harness.send_request(
+            "/notes/1",
+            f"q{number}",
+            body=b"the same",
+            name=GATEWAYS[number % len(GATEWAYS)],
+            extra_headers={"X-Prompt-Prefix": parts},
+        )
+        assert response.status in (502, 503)
+        if count_crashes(harness) >= 3:
+            await asyncio.sleep(CONTACT_S)
+            break
+        await asyncio.sleep(INTERVAL_S)
+    before = count_crashes(harness)
+    for late in range(100, 124):
+        response = await harness.send_request(
+            "/notes/1",
+            f"q{late}",
+            body=b"the same",
+            name=GATEWAYS[late % len(GATEWAYS)],
+            extra_headers={"X-Prompt-Prefix": parts},
+        )
+        assert response.status == 503
+        sound = await send(harness, late + 100, f"shared:300,own{late}:90")
+        assert sound.status == 200
+    assert count_crashes(harness) == before
--- a/tests/unit/gateway/test_crash_monitor.py
+++ b/tests/unit/gateway/test_crash_monitor.py
@@ -109,3 +109,48 @@
     fixture.monitor.check(job)
     with pytest.raises(RefusedError):
         fixture.monitor.check(make_prompt_job("deadly", body=b"own"))
+
+
+async def lose_in_three_crashes(fixture: CrashFixture, body: bytes) -> None:
+    for number in range(3):
+        await asyncio.sleep(1.0)
+        job = make_prompt_job("part", body=body)
+        fixture.monitor.watch(job, make_record(f"e{number}")).record_connection_lost()
+    await asyncio.sleep(2 * CONFIRMATION_DELAY_S + SETTLE_S)
+
+
+async def count_let_through(fixture: CrashFixture, body: bytes, for_s: int) -> int:
+    count = 0
+    for _ in range(for_s):
+        await asyncio.sleep(1.0)
+        job = make_prompt_job("part", body=body)
+        try:
+            fixture.monitor.check(job, placed=False)
+            fixture.monitor.check(job)
+        except RefusedError:
+            continue
+        count += 1
+        watch = fixture.monitor.watch(job, make_record(f"e{for_s}-{count}"))
+        watch.record_connection_lost()
+    return count
+
+
+# Guards against trials that take all the arrivals that are allowed, so that a stray one
+# exceeds them: each of two views of the membership makes its own.
+async def test_a_whole_request_is_tried_once_in_each_view_of_the_membership() -> None:
+    views = [make_crash_fixture("g0"), make_crash_fixture("g1")]
+    for fixture in views:
+        await lose_in_three_crashes(fixture, b"bad")
+    counts = [await count_let_through(fixture, b"bad", 300) for fixture in views]
+    assert counts == [1, 1]
+
+
+async def test_a_trial_without_room_is_made_later() -> None:
+    fixture = make_crash_fixture()
+    await lose_in_three_crashes(fixture, b"bad")
+    await asyncio.sleep(30.0)
+    for _ in range(3):
+        fixture.monitor.check(make_prompt_job("part", body=b"bad"), placed=False)
+    fixture.monitor.check(make_prompt_job("part", body=b"bad"))
+    with pytest.raises(RefusedError):
+        fixture.monitor.check(make_prompt_job("part", body=b"bad"))
