Remember answers to whole requests, so that equal ones outlive a power loss

Cause: recent answers were remembered for prompt parts only, so a request that is answered all the time counted as never answered.

Change: answers to whole requests are remembered as well, in a store of their own so that they don't displace those of parts.

--- a/src/shallotroad/gateway/crash_monitor.py
+++ b/src/shallotroad/gateway/crash_monitor.py
@@ -233,10 +233,7 @@
 
     def record_answer(self, job: Job) -> None:
         """Record that an endpoint answered a job and went on running."""
-        keys = prompt_keys(job)
-        if self._correlation.has_losses:
-            keys = (*keys, fingerprint(job))
-        self.record_proof(keys)
+        self.record_proof((*prompt_keys(job), fingerprint(job)))
 
     def record_proof(self, keys: tuple[str, ...]) -> None:
         """Record that an endpoint ran what has these keys and went on running."""
--- a/src/shallotroad/policy/crash_correlation.py
+++ b/src/shallotroad/policy/crash_correlation.py
@@ -201,7 +201,9 @@
         self._lost_keys: set[str] = set()
         self._proofs: dict[str, Proof] = {}
         self._trials: dict[str, Trial] = {}
+        # The latest answers to requests with a part, and to whole requests.
         self._recent_proofs: dict[str, float] = {}
+        self._recent_answers: dict[str, float] = {}
         self._known: dict[str, None] = {}
         self._expired_s = -math.inf
         self._verdicts: list[Verdict] = []
@@ -262,13 +264,15 @@
         """Record that a request with these keys was answered; return the new facts."""
         facts: list[Fact] = []
         for key in keys:
-            if not is_fingerprint(key):
-                self._recent_proofs.pop(key, None)
-                self._recent_proofs[key] = now_s
+            recent = (
+                self._recent_answers if is_fingerprint(key) else self._recent_proofs
+            )
+            recent.pop(key, None)
+            recent[key] = now_s
+            if len(recent) > MAX_RECENT_PROOFS:
+                del recent[next(iter(recent))]
             if self._has_open_loss(key, now_s):
                 facts += self.apply(Proof(self._next_source(), key, now_s), now_s)
-        while len(self._recent_proofs) > MAX_RECENT_PROOFS:
-            del self._recent_proofs[next(iter(self._recent_proofs))]
         return facts
 
     def apply(self, fact: Fact, now_s: float) -> list[Fact]:
@@ -338,7 +342,10 @@
         """Return proofs from before a loss that other gateways may not know."""
         facts: list[Fact] = []
         for key in lost.keys:
-            proven_s = self._recent_proofs.get(key)
+            recent = (
+                self._recent_answers if is_fingerprint(key) else self._recent_proofs
+            )
+            proven_s = recent.get(key)
             if proven_s is not None and key not in self._proofs:
                 facts += self._apply_proof(Proof(self._next_source(), key, proven_s))
         return facts
--- a/tests/unit/gateway/test_whole_request_that_crashes_engines.py
+++ b/tests/unit/gateway/test_whole_request_that_crashes_engines.py
@@ -132,3 +132,18 @@
     await simulation.close()
     assert len(simulation.served) > 1000
     assert len(simulation.refused) <= MAX_REFUSED_SHARE * len(simulation.served)
+
+
+# Guards against the suspension of equal requests of many callers, such as a look-up
+# that all make, which a power loss takes at several endpoints at once.
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_equal_requests_of_many_callers_outlive_power_losses(seed: int) -> None:
+    simulation = CrashSimulation(gateways=5, engines=6, seed=seed)
+    simulation.start(simulation.send_again([b"hot"], ("hot",), every_s=0.1, for_s=40.0))
+    for _ in range(5):
+        await asyncio.sleep(7.0)
+        simulation.lose_power(1.0)
+    await asyncio.sleep(10.0)
+    await simulation.close()
+    assert len(simulation.served) > 100
+    assert simulation.refused == []
