Show that an endpoint gets more requests than the limit that it states

Three gateways, 25 requests a second, two of three endpoints state 2 requests a second: the worst gets 55 (engines) and 99 (a service without an engine) in 4 s, where 17 are allowed. The stand-in learns to state a limit.

--- a/devtools/dependency_standins.py
+++ b/devtools/dependency_standins.py
@@ -184,7 +184,11 @@
         A response whose head, body, chunk framing or event goes on, as fast as it is
         read, until the connection is closed.
 
-    ``executed_ids`` has one item for each time that a request was run.
+    ``executed_ids`` has one item for each time that a request was run, and
+    ``received_s`` the times of the event loop at which requests arrived.
+
+    Its responses state ``limit_per_s``, the requests a second that it takes from all
+    gateways together, unless it is empty.
 
     A request whose prompt has the part ``deadly_part`` crashes the endpoint in any
     mode: all its connections end, and it starts again after ``RESTART_DELAY_S``.
@@ -204,6 +208,8 @@
         self.event_count = 6
         self.event_gap_s = EVENT_GAP_S
         self.received: list[ReceivedRequest] = []
+        self.received_s: list[float] = []
+        self.limit_per_s = ""
         self.executed_ids: list[str] = []
         self._cached_prefixes: list[tuple[str, int]] = []
         self._cache_list = self._encode_cache_list()
@@ -287,6 +293,7 @@
                     request_id, first.split(" ")[1], headers, body
                 )
                 self.received.append(request)
+                self.received_s.append(asyncio.get_running_loop().time())
                 if self.deadly_part and self.deadly_part in request.prompt_parts:
                     await asyncio.sleep(CRASH_DELAY_S)
                     self.crash()
@@ -327,6 +334,8 @@
 
         ``extra`` are further header lines, each ended by CRLF.
         """
+        if self.limit_per_s:
+            extra += f"Server-Limit: {self.limit_per_s}\r\n"
         text = f"HTTP/1.1 {status}\r\nX-Request-Id: {request.request_id}\r\n{extra}\r\n"
         return text.encode()
 
