Test stated limits under load, and refuse early what they can't take

Late requests in the queue were overtaken by newer ones as long as the load lasted, newcomers took permits before queued requests, and endpoints that were limited together gave their permits at the same moment. Now a request behind others is refused unless it can start by its objective, the queue is served first, and the permits of endpoints are out of step.

--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -272,7 +272,7 @@
         now_s = self._clock()
         if request.profile.gap_tolerant:
             self._update_prefill_shares(request)
-        if self._dispatch_timer is not None:
+        if self._dispatch_timer is not None or self._limits_all(request):
             self.dispatch_queued()  # queued requests may be more urgent
         placement = self._try_place(
             request,
@@ -284,14 +284,13 @@
         usable_loads = self._endpoint_registry.usable_loads(request)
         if not usable_loads:
             raise RefusedError("no endpoint", retry_after_s=self.retry_after_s(request))
-        wait_s = self._limited_wait_s(request, usable_loads, now_s)
-        if now_s + wait_s > request.last_start_s:
+        wait_s = self._wait_beyond_limits_s(request, usable_loads, now_s)
+        if wait_s:
+            retry_after_s = min(wait_s, self.retry_after_s(request))
             on_refused(
                 RefusedError(
                     "endpoints limit their requests",
-                    retry_after_s=max(
-                        MIN_RETRY_AFTER_S, min(wait_s, self.retry_after_s(request))
-                    ),
+                    retry_after_s=max(MIN_RETRY_AFTER_S, retry_after_s),
                 )
             )
             return None
@@ -307,25 +306,45 @@
         self._queue.append(queued)
         return queued
 
-    def _limited_wait_s(
+    def _limits_all(self, request: PlacementRequest) -> bool:
+        """Return whether all endpoints that may serve a request state a limit.
+
+        Then the next permit is for a queued request, if there is one.
+        """
+        return (
+            bool(self._queue)
+            and self._endpoint_registry.states_limit(request.service)
+            and all(
+                load.limit_per_s is not None
+                for load in self._endpoint_registry.usable_loads(request)
+            )
+        )
+
+    def _wait_beyond_limits_s(
         self, request: PlacementRequest, loads: Sequence[EndpointLoad], now_s: float
     ) -> float:
-        """Return how long a request waits for endpoints that all state a limit.
+        """Return how long a request would wait for limited endpoints, if too long.
 
-        0 if some endpoint states none.
+        0 if it may wait, or if some endpoint states no limit. A request may wait until
+        its objective, behind others of its tiers: one that is late would be overtaken
+        as long as the load lasts. The first in the queue may wait longer.
         """
         per_s = 0.0
         for load in loads:
             if load.limit_per_s is None:
                 return 0.0
             per_s += STATED_LIMIT_FRACTION * max(MIN_STATED_PER_S, load.limit_per_s)
-        priority = request.priority(now_s)
+        tiers = (request.tier, request.route_tier)
         ahead = sum(
             queued.request.cell == request.cell
-            and queued.request.priority(now_s) <= priority
+            and (queued.request.tier, queued.request.route_tier) <= tiers
             for queued in self._queue
         )
-        return (ahead + 1) / per_s
+        wait_s = (ahead + 1) / per_s
+        latest_s = request.last_start_s
+        if ahead:
+            latest_s = min(latest_s, request.objective_s)
+        return wait_s if now_s + wait_s > latest_s else 0.0
 
     def _nominal_prefill_ms(self, request: PlacementRequest, now_s: float) -> float:
         """Return the prefill time of a prompt where its shared parts are cached."""
--- a/src/shallotroad/policy/endpoint_rate.py
+++ b/src/shallotroad/policy/endpoint_rate.py
@@ -51,13 +51,15 @@
     fraction : float
         Fraction of the permitted rate that is used.
     first_at_once : bool
-        Whether the first request to an endpoint is permitted at once.
+        Whether the first request to an endpoint is permitted at once. Otherwise it
+        waits for a part of the interval that depends on the endpoint, so that those
+        that are limited at the same time don't take their requests at the same time.
     """
 
     def __init__(self, *, gateway: str, fraction: float, first_at_once: bool) -> None:
         self._gateway = gateway
         self._fraction = fraction
-        self._first_tokens = 1.0 if first_at_once else 0.0
+        self._first_at_once = first_at_once
         self._buckets: dict[str, TokenBucket] = {}
 
     def try_acquire(
@@ -91,7 +93,7 @@
         bucket = self._buckets.get(endpoint)
         if bucket is None:
             bucket = self._buckets[endpoint] = TokenBucket(
-                tokens=self._first_tokens, now_s=now_s
+                tokens=1.0 if self._first_at_once else _phase(endpoint), now_s=now_s
             )
         share_per_s = self._fraction * per_s / len(permitted)
         return bucket.take(1, per_s=share_per_s, burst=1.0, now_s=now_s) == 1
@@ -101,6 +103,11 @@
         self._buckets.pop(endpoint, None)
 
 
+def _phase(endpoint: str) -> float:
+    """Return a number from 0 to 1 that differs between endpoints."""
+    return hashlib.blake2b(endpoint.encode(), digest_size=1).digest()[0] / 256
+
+
 def make_cold_start_limiter(gateway: str) -> EndpointRateLimiter:
     """Return the limiter of a gateway for endpoints that are cold."""
     return EndpointRateLimiter(
--- a/tests/coordination_builders.py
+++ b/tests/coordination_builders.py
@@ -11,7 +11,9 @@
 from shallotroad.gateway.coordination.coordinator import Coordinator
 from shallotroad.gateway.coordination.datagrams import CoordinationProtocol
 from shallotroad.gateway.coordination.placement_client import PlacementClient
+from shallotroad.gateway.endpoint_statements import EndpointStatements
 from shallotroad.gateway.membership import Membership
+from shallotroad.gateway.metrics import GatewayMetrics
 from tests.gateway_builders import AdmissionFixture
 from tests.gateway_builders import Clock
 from tests.gateway_builders import make_admission_fixture
@@ -105,6 +107,7 @@
     coordinator: Coordinator
     draining: list[bool]
     survey: FakeCacheSurvey
+    statements: EndpointStatements
 
 
 def make_gateway(
@@ -116,7 +119,11 @@
     started_s: float = -math.inf,
 ) -> GatewayFixture:
     clock = LoopClock()
-    admission_fixture = make_admission_fixture(name=name, clock=clock)
+    admission_fixture = make_admission_fixture(
+        name=name,
+        clock=clock,
+        rate_sharers=lambda cell: placement_client.rate_sharers(cell),
+    )
     membership = Membership(
         name=name,
         address=f"{name}:1",
@@ -149,10 +156,24 @@
         report_interval_s=placement_client.report_interval_s,
     )
     protocol.set_handlers(coordinator=coordinator, placement_client=placement_client)
+    statements = EndpointStatements(
+        endpoint_registry=admission_fixture.endpoint_registry,
+        coordinators=placement_client.coordinators,
+        send=protocol.send,
+        metrics=GatewayMetrics(),
+        clock=clock,
+    )
+    protocol.on_stated = statements.merge
     protocol.connection_made(cast("Any", FakeTransport(network=network, host=name)))
     network.protocols[(name, 1)] = protocol
     return GatewayFixture(
-        admission_fixture, membership, placement_client, coordinator, draining, survey
+        admission_fixture,
+        membership,
+        placement_client,
+        coordinator,
+        draining,
+        survey,
+        statements,
     )
 
 
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import random
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
 
@@ -24,6 +25,12 @@
 from shallotroad.policy.endpoint_rate import make_stated_limit_limiter
 
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from shallotroad.policy.cells import Cell
+
 ENGINE = EngineCapacity(
     batch_slots=64, kv_cache_tokens=500_000, tokens_per_event=4, event_waiters=12
 )
@@ -187,6 +194,7 @@
     *,
     name: str = "entry-1",
     clock: Clock | None = None,
+    rate_sharers: Callable[[Cell], Sequence[str]] | None = None,
     **record: Any,
 ) -> AdmissionFixture:
     clock = clock or Clock()
@@ -204,7 +212,7 @@
         catalog=catalog,
         cold_start=make_cold_start_limiter(name),
         stated_limits=make_stated_limit_limiter(name),
-        rate_sharers=lambda _: [name],
+        rate_sharers=rate_sharers or (lambda _: [name]),
         prefix_reuse_s=10.0,
         clock=clock,
     )
