Use the whole rate that an endpoint states

The rule allows one and a half times the rate and five requests, so half a second of unused permits can be kept: at most 4.5 times the rate and one in 4 s from one coordinator, 6.5 times and two while another one takes over for 2 s.

What remains is lateness at the engines without a limit.

--- a/src/shallotroad/policy/endpoint_rate.py
+++ b/src/shallotroad/policy/endpoint_rate.py
@@ -24,7 +24,9 @@
 # Fraction of the permitted rate that is used, because gateways may briefly
 # disagree on the membership.
 COLD_START_FRACTION = 0.7
-STATED_LIMIT_FRACTION = 0.9
+STATED_LIMIT_FRACTION = 1.0
+# Permits that a short gap in the traffic leaves unused are kept for this long.
+STATED_LIMIT_BURST_S = 0.5
 # An endpoint with a lower limit still gets a request now and then, because only its
 # answers tell when the limit ends.
 MIN_STATED_PER_S = 0.25
@@ -50,15 +52,20 @@
     ----------
     fraction : float
         Fraction of the permitted rate that is used.
+    burst_s : float
+        Time for which unused permits are kept, besides one of them.
     first_at_once : bool
         Whether the first request to an endpoint is permitted at once. Otherwise it
         waits for a part of the interval that depends on the endpoint, so that those
         that are limited at the same time don't take their requests at the same time.
     """
 
-    def __init__(self, *, gateway: str, fraction: float, first_at_once: bool) -> None:
+    def __init__(
+        self, *, gateway: str, fraction: float, burst_s: float, first_at_once: bool
+    ) -> None:
         self._gateway = gateway
         self._fraction = fraction
+        self._burst_s = burst_s
         self._first_at_once = first_at_once
         self._buckets: dict[str, TokenBucket] = {}
 
@@ -67,8 +74,7 @@
     ) -> bool:
         """Take a permit for one request; return whether one was available.
 
-        Each selected gateway has an equal share of the fraction of the rate, without
-        bursts.
+        Each selected gateway has an equal share of the fraction of the rate.
 
         Parameters
         ----------
@@ -96,7 +102,8 @@
                 tokens=1.0 if self._first_at_once else _phase(endpoint), now_s=now_s
             )
         share_per_s = self._fraction * per_s / len(permitted)
-        return bucket.take(1, per_s=share_per_s, burst=1.0, now_s=now_s) == 1
+        burst = 1.0 + self._burst_s * share_per_s
+        return bucket.take(1, per_s=share_per_s, burst=burst, now_s=now_s) == 1
 
     def remove(self, endpoint: str) -> None:
         """Remove the state of an endpoint that no longer exists."""
@@ -111,7 +118,7 @@
 def make_cold_start_limiter(gateway: str) -> EndpointRateLimiter:
     """Return the limiter of a gateway for endpoints that are cold."""
     return EndpointRateLimiter(
-        gateway=gateway, fraction=COLD_START_FRACTION, first_at_once=True
+        gateway=gateway, fraction=COLD_START_FRACTION, burst_s=0.0, first_at_once=True
     )
 
 
@@ -121,5 +128,8 @@
     A gateway that begins to enforce a limit doesn't know what others have just sent.
     """
     return EndpointRateLimiter(
-        gateway=gateway, fraction=STATED_LIMIT_FRACTION, first_at_once=False
+        gateway=gateway,
+        fraction=STATED_LIMIT_FRACTION,
+        burst_s=STATED_LIMIT_BURST_S,
+        first_at_once=False,
     )
