Bound the numbers and texts of documents, members and relayed rows

Told by other operators: one odd entry among those of the endpoints ended the machines that read the list. Here none ended, but entries were taken that fail later: a start of 1e300 made each exchange of gossip fail for ten minutes after a crash of that endpoint, a key with CR LF stood in the heads of requests, a text in place of a list of keys made each letter a key.

Cause: types were checked, ranges were not.

--- a/src/shallotroad/gateway/membership.py
+++ b/src/shallotroad/gateway/membership.py
@@ -40,6 +40,8 @@
 # Peers needed in the gateway's own data centre before they are preferred.
 MIN_LOCAL_PEERS = 3
 MAX_PORTS = 65_536
+# Larger numbers could not all be sent on.
+MAX_NUMBER = 2**53
 
 
 class Member(NamedTuple):
@@ -103,6 +105,10 @@
     host, _, peer_port = str(address).rpartition(":")
     if address and not (host and 0 < int(peer_port) < MAX_PORTS):
         raise ValueError(f"{address!r} is not an address")
+    if not all(0 <= int(number) <= MAX_NUMBER for number in (incarnation, heartbeats)):
+        raise ValueError(
+            f"member {name!r} of {incarnation!r} with {heartbeats!r} heartbeats"
+        )
     if not (0 <= int(port) < MAX_PORTS and 0 < float(cores) < math.inf):
         raise ValueError(f"member {name!r} has port {port!r} and {cores!r} cores")
     return Member(
--- a/src/shallotroad/gateway/store_relay.py
+++ b/src/shallotroad/gateway/store_relay.py
@@ -26,6 +26,7 @@
 
 from shallotroad.http_server.message import Response
 from shallotroad.observability.event_log import log_event
+from shallotroad.platform.documents import MAX_NUMBER
 from shallotroad.platform.documents import Document
 from shallotroad.upstream.exceptions import CallFailedError
 from shallotroad.upstream.http_client import HttpClient
@@ -102,10 +103,16 @@
     TypeError, ValueError
         When a row is malformed.
     """
-    return [
-        Document(str(key), int(rev), None if value is None else base64.b64decode(value))
-        for key, rev, value in rows
-    ]
+    return [_decode_row(*row) for row in rows]
+
+
+def _decode_row(key: Any, revision: Any, value: Any) -> Document:
+    if not (isinstance(key, str) and isinstance(revision, int)):
+        raise TypeError(f"document {str(key)[:40]!r} with revision {revision!r}")
+    if not 0 <= revision <= MAX_NUMBER:
+        raise ValueError(f"document {key[:40]!r} with revision {revision}")
+    content = None if value is None else base64.b64decode(value, validate=True)
+    return Document(key, revision, content)
 
 
 def encode_batch(batch: RelayedBatch) -> bytes:
--- a/src/shallotroad/platform/documents.py
+++ b/src/shallotroad/platform/documents.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+import re
 from typing import Any
 from typing import NamedTuple
 
@@ -36,6 +37,14 @@
 # Whether an endpoint drains, by the state of its registration. A registration with
 # another state is malformed.
 DRAINING_BY_STATE = {"ready": False, "draining": True}
+# Larger numbers are not exact in JSON, and can't all be encoded again.
+MAX_NUMBER = 2**53
+MAX_DURATION_MS = 86_400_000
+# The end of the year 2099. A later start would outlive all true ones.
+MAX_STARTED_AT_MS = 4_102_444_800_000
+MAX_SLOTS = 1_000_000
+# It stands in a header of each request to the endpoint.
+IDENTIFIER = re.compile(r"[!-~]{1,200}")
 
 
 class Document(NamedTuple):
@@ -103,10 +112,14 @@
     return value
 
 
-def _non_negative_number(
-    fields: dict[str, Any], name: str, default: float | None = None
+def _number(
+    fields: dict[str, Any],
+    name: str,
+    default: float | None = None,
+    *,
+    most: float = MAX_NUMBER,
 ) -> float:
-    """Return a finite number of at least 0, or raise ``MalformedDocumentError``.
+    """Return a number from 0 to ``most``, or raise ``MalformedDocumentError``.
 
     A missing field gets the default, and is required when that is None. A null value
     is malformed.
@@ -114,11 +127,38 @@
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise MalformedDocumentError(f"{name}: a number is required")
-    if not math.isfinite(value) or value < 0:
-        raise MalformedDocumentError(f"{name}: {value} is not finite or is negative")
+    if math.isnan(value) or not 0 <= value <= most:
+        raise MalformedDocumentError(f"{name}: {value} is not from 0 to {most}")
     return float(value)
 
 
+def _duration_ms(
+    fields: dict[str, Any], name: str, default: float | None = None
+) -> float:
+    """Return a duration of at most a day, or raise ``MalformedDocumentError``."""
+    return _number(fields, name, default, most=MAX_DURATION_MS)
+
+
+def _texts(fields: dict[str, Any], name: str) -> frozenset[str]:
+    """Return a list of strings, empty if missing, or raise if it is another value."""
+    values = fields.get(name)
+    if values is None:
+        return frozenset()
+    if not isinstance(values, list) or not all(isinstance(v, str) for v in values):
+        raise MalformedDocumentError(f"{name}: a list of strings is required")
+    return frozenset(values)
+
+
+def _objects(fields: dict[str, Any], name: str) -> list[dict[str, Any]]:
+    """Return a list of objects, empty if missing, or raise if it is another value."""
+    values = fields.get(name)
+    if values is None:
+        return []
+    if not isinstance(values, list) or not all(isinstance(v, dict) for v in values):
+        raise MalformedDocumentError(f"{name}: a list of objects is required")
+    return values
+
+
 def decode_endpoint(identifier: str, value: bytes) -> EndpointRecord:
     """Decode the registration of an endpoint.
 
@@ -136,12 +176,16 @@
         address = parse_address(_require_text(fields, "address"))
     except ValueError as error:
         raise MalformedDocumentError(f"address: {error}") from error
-    slots = int(_non_negative_number(fields, "slots"))
-    if slots < 1 or not identifier or not identifier.isascii():
+    slots = int(_number(fields, "slots", most=MAX_SLOTS))
+    if slots < 1 or not IDENTIFIER.fullmatch(identifier):
         raise MalformedDocumentError(
-            f"slots ({slots}) or identifier ({identifier!r}) is invalid"
+            f"slots ({slots}) or identifier ({identifier[:200]!r}) is invalid"
         )
-    _non_negative_number(fields, "sequence")
+    # "born" is the Unix time in milliseconds at which the process started.
+    started_at_ms = _number(fields, "born", 0, most=MAX_STARTED_AT_MS)
+    if not started_at_ms.is_integer():
+        raise MalformedDocumentError(f"born: {started_at_ms} is not a whole number")
+    _number(fields, "sequence")
     return EndpointRecord(
         identifier=identifier,
         service=_require_text(fields, "service"),
@@ -151,47 +195,41 @@
         data_centre=_require_text(fields, "zone"),
         slots=slots,
         draining=DRAINING_BY_STATE[state],
-        cold_remaining_ms=_non_negative_number(fields, "cold-remaining-ms", 0),
-        # "born" is the Unix time in milliseconds at which the process started.
-        started_at_ms=int(_non_negative_number(fields, "born", 0)),
+        cold_remaining_ms=_duration_ms(fields, "cold-remaining-ms", 0),
+        started_at_ms=int(started_at_ms),
     )
 
 
 def _decode_targets(fields: dict[str, Any]) -> tuple[Target, ...]:
-    split = fields.get("traffic-split")
+    split = _objects(fields, "traffic-split")
     if split:
         return tuple(
-            Target(_require_text(t, "service"), _non_negative_number(t, "weight"))
-            for t in split
+            Target(_require_text(t, "service"), _number(t, "weight")) for t in split
         )
     return (Target(_require_text(fields, "service"), 1.0),)
 
 
-def _decode_regions(fields: dict[str, Any]) -> frozenset[str]:
-    return frozenset(str(region) for region in fields.get("allowed-regions") or ())
-
-
 def _decode_route(fields: dict[str, Any]) -> Route:
     kind = ROUTE_KINDS.get(_require_text(fields, "route-type"))
     if kind is None:
         raise MalformedDocumentError(f"route-type: {fields['route-type']!r} is unknown")
-    timeout_ms = _non_negative_number(fields, "timeout-ms")
+    timeout_ms = _duration_ms(fields, "timeout-ms")
     return Route(
         name=_require_text(fields, "name"),
         host=_require_text(fields, "host").lower(),
         path_prefix=_require_text(fields, "prefix"),
         kind=kind,
         timeout_ms=timeout_ms,
-        objective_ms=_non_negative_number(fields, "target-latency-ms", timeout_ms),
-        max_attempts=max(1, int(_non_negative_number(fields, "max-attempts", 1))),
+        objective_ms=_duration_ms(fields, "target-latency-ms", timeout_ms),
+        max_attempts=max(1, int(_number(fields, "max-attempts", 1))),
         # The platform calls the tier a priority; 0 is the most urgent.
-        tier=int(_non_negative_number(fields, "priority", 0)),
+        tier=int(_number(fields, "priority", 0)),
         targets=_decode_targets(fields),
         public=fields.get("public") is True,
-        regions=_decode_regions(fields),
+        regions=_texts(fields, "allowed-regions"),
         resumable=fields.get("stream-resume") is True,
         # "gap-aim-ms" is the longest event gap of a stream that is still on time.
-        max_event_gap_ms=_non_negative_number(fields, "gap-aim-ms", 0),
+        max_event_gap_ms=_duration_ms(fields, "gap-aim-ms", 0),
     )
 
 
@@ -199,32 +237,32 @@
     if not fields:
         return None
     return EngineCapacity(
-        batch_slots=int(_non_negative_number(fields, "slots", 1)),
-        kv_cache_tokens=int(_non_negative_number(fields, "kv-tokens", 0)),
+        batch_slots=int(_number(fields, "slots", 1)),
+        kv_cache_tokens=int(_number(fields, "kv-tokens", 0)),
         # "stride" is the number of tokens in each event of a stream.
-        tokens_per_event=max(1, int(_non_negative_number(fields, "stride", 1))),
-        event_waiters=int(_non_negative_number(fields, "most", 0)),
+        tokens_per_event=max(1, int(_number(fields, "stride", 1))),
+        event_waiters=int(_number(fields, "most", 0)),
     )
 
 
 def _decode_service(fields: dict[str, Any]) -> Service:
     return Service(
         name=_require_text(fields, "name"),
-        health_path=fields.get("health-path") or "/",
-        max_connections=int(_non_negative_number(fields, "max-connections", 100)),
-        cold_start_s=_non_negative_number(fields, "cold-start-s", 0),
-        cold_requests_per_s=_non_negative_number(fields, "cold-per-s", 0),
+        health_path=_require_text({"health-path": "/", **fields}, "health-path"),
+        max_connections=int(_number(fields, "max-connections", 100)),
+        cold_start_s=_number(fields, "cold-start-s", 0),
+        cold_requests_per_s=_number(fields, "cold-per-s", 0),
         engine=_decode_engine(fields.get("engine")),
     )
 
 
 def _decode_team(fields: dict[str, Any]) -> Team:
-    tier = fields.get("priority")
+    has_tier = fields.get("priority") is not None
     return Team(
         name=_require_text(fields, "name"),
-        api_keys=frozenset(str(key) for key in fields.get("api-keys") or ()),
-        tier=int(tier) if isinstance(tier, int) else None,
-        regions=_decode_regions(fields),
+        api_keys=_texts(fields, "api-keys"),
+        tier=int(_number(fields, "priority")) if has_tier else None,
+        regions=_texts(fields, "allowed-regions"),
     )
 
 
@@ -241,29 +279,17 @@
     defaults = Limits()
     try:
         return Configuration(
-            version=int(_non_negative_number(fields, "version")),
-            routes=tuple(_decode_route(item) for item in fields.get("routes") or ()),
-            services=tuple(
-                _decode_service(item) for item in fields.get("services") or ()
-            ),
+            version=int(_number(fields, "version")),
+            routes=tuple(map(_decode_route, _objects(fields, "routes"))),
+            services=tuple(map(_decode_service, _objects(fields, "services"))),
             limits=Limits(
-                int(
-                    _non_negative_number(
-                        limits, "max-header-bytes", defaults.header_bytes
-                    )
-                ),
-                int(
-                    _non_negative_number(limits, "max-body-bytes", defaults.body_bytes)
-                ),
-                _non_negative_number(
-                    limits, "header-timeout-ms", defaults.header_timeout_ms
-                ),
-                _non_negative_number(
-                    limits, "idle-timeout-ms", defaults.idle_timeout_ms
-                ),
+                int(_number(limits, "max-header-bytes", defaults.header_bytes)),
+                int(_number(limits, "max-body-bytes", defaults.body_bytes)),
+                _duration_ms(limits, "header-timeout-ms", defaults.header_timeout_ms),
+                _duration_ms(limits, "idle-timeout-ms", defaults.idle_timeout_ms),
             ),
             # The platform calls a team a tenant.
-            teams=tuple(_decode_team(item) for item in fields.get("tenants") or ()),
+            teams=tuple(map(_decode_team, _objects(fields, "tenants"))),
         )
     except (AttributeError, TypeError, ValueError) as error:
         raise MalformedDocumentError(f"malformed configuration: {error}") from error
--- a/src/shallotroad/platform/settings.py
+++ b/src/shallotroad/platform/settings.py
@@ -134,9 +134,12 @@
     """
     host, _, port = text.rpartition(":")
     octets = host.split(".")
-    if len(octets) != 4 or not all(o.isdigit() and int(o) < 256 for o in octets):
-        raise ValueError(f"not an address of the form IP:PORT: {text!r}")
-    if not 0 < int(port) < 65536:
+    digits = [*octets, port]
+    if len(octets) != 4 or not all(d.isascii() and d.isdecimal() for d in digits):
+        raise ValueError(f"not an address of the form IP:PORT: {text[:40]!r}")
+    if any(int(octet) > 255 for octet in octets):
+        raise ValueError(f"not an IPv4 address: {text[:40]!r}")
+    if len(port) > 5 or not 0 < int(port) < 65536:
         raise ValueError(f"port not between 1 and 65535: {text!r}")
     return Address(host, int(port))
 
--- a/src/shallotroad/platform/store.py
+++ b/src/shallotroad/platform/store.py
@@ -11,6 +11,7 @@
 
 import orjson
 
+from shallotroad.platform.documents import MAX_NUMBER
 from shallotroad.platform.documents import Document
 from shallotroad.platform.exceptions import RevisionCompactedError
 from shallotroad.platform.exceptions import StoreUnavailableError
@@ -42,10 +43,12 @@
     try:
         key = str(item["key"])
         revision = int(item["revision"])
+        if not 0 <= revision <= MAX_NUMBER:
+            return None
         if item.get("removed"):
             return Document(key, revision, None)
         return Document(key, revision, base64.b64decode(item["value"], validate=True))
-    except (KeyError, TypeError, ValueError, binascii.Error):
+    except (KeyError, OverflowError, TypeError, ValueError, binascii.Error):
         return None
 
 
