Refuse requests after the stop signal that may not end in time

Told by other operators: requests that came late in the grace period were taken and cut at its end, among them requests that must run once. Here none was cut without an answer, but a booking that was taken 1.5 s after the signal got 502 after the whole period, and may have run; long streams were passed on to be broken off.

Cause: new requests were taken for 2.6 s after the signal, whatever time they might take. Now one that may run only once, and may not have ended by the end of the period, is refused at once, so that its caller goes elsewhere. One whose head came before the signal is served, as test_a_body_that_ends_after_the_stop_signal_gets_a_response asks.

--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -369,15 +369,17 @@
     """Finish the open requests within the grace period.
 
     New connections are accepted for ``BALANCER_LINGER_S``; then requests are refused
-    and idle connections closed. What is unfinished at the end of the period gets a
+    and idle connections closed. Requests that must run once and may not end within the
+    period are refused at once. What is unfinished at the end of the period gets a
     last response: refused if it has not run, else unknown.
     """
     frontend = components.frontend
+    started_s = time.monotonic()
+    deadline_s = started_s + components.settings.bounds.grace_s - EXIT_RESERVE_S
     frontend.draining = True
+    frontend.cut_off_s = deadline_s
     components.membership.leave()
     log_event("stopping", open_requests=server.open_requests)
-    started_s = time.monotonic()
-    deadline_s = started_s + components.settings.bounds.grace_s - EXIT_RESERVE_S
     while time.monotonic() < deadline_s:
         linger_elapsed = time.monotonic() - started_s > BALANCER_LINGER_S
         if linger_elapsed and not frontend.refusing:
--- a/src/shallotroad/gateway/http_frontend.py
+++ b/src/shallotroad/gateway/http_frontend.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -102,7 +103,9 @@
     """Receives requests from callers and gives each exactly one response.
 
     ``draining`` closes each connection after its response; ``refusing`` also
-    refuses new requests.
+    refuses new requests. ``cut_off_s`` is the monotonic time at which unfinished
+    requests are cut: infinity until the process stops. A request that arrives later,
+    must run once and could still run then is refused.
     """
 
     def __init__(
@@ -120,6 +123,7 @@
         self._clock = clock
         self.draining = False
         self.refusing = False
+        self.cut_off_s = math.inf
         self.open_requests = 0
         self._metrics = metrics
 
@@ -274,8 +278,8 @@
         Raises
         ------
         RefusedError
-            When the process refuses new requests or has no configuration, or only a
-            last response is wanted.
+            When the process refuses new requests or has no configuration, the request
+            could be cut by the stop, or only a last response is wanted.
         RejectedError
             When the headers (431) or the body (413) are too large, the body takes too
             long (408), no route matches (404), the API key is not known (401), or there
@@ -285,6 +289,8 @@
         """
         if request.interruption:
             raise RefusedError(request.interruption, retry_after_s=0.0)
+        # A body that ends after the stop signal belongs to a request from before it.
+        cut_off_s = self.cut_off_s
         configuration = await self._wait_for_configuration()
         if self.refusing:
             raise RefusedError("the process is stopping", retry_after_s=0.0)
@@ -314,7 +320,7 @@
         if not decoded.request_id:
             raise RejectedError("no request id", status=400)
         service = configuration.choose_service(route, decoded.request_id)
-        return Job(
+        job = Job(
             request=decoded,
             body=body,
             route=route,
@@ -326,6 +332,9 @@
             gap_tolerant=configuration.is_gap_tolerant(route, service.name),
             min_event_gap_limit_ms=configuration.min_event_gap_limit_ms(service.name),
         )
+        if not route.repeatable and job.expected_end_s() > cut_off_s:
+            raise RefusedError("too late before the stop", retry_after_s=0.0)
+        return job
 
     async def _check_connected(self, request: ServerRequest) -> None:
         """Raise ``ConnectionResetError`` if the caller has closed the connection.
--- a/src/shallotroad/gateway/job.py
+++ b/src/shallotroad/gateway/job.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from shallotroad.catalog.configuration import RouteKind
+from shallotroad.policy.endpoint_load import MIN_PREFILL_SHARE
 from shallotroad.policy.endpoint_load import decode_share
 from shallotroad.policy.endpoint_load import expected_answer_s
 from shallotroad.policy.endpoint_load import prefill_share
@@ -39,6 +40,10 @@
 # the prefill.
 MAX_WAIT_CALLER_TIMEOUT_SHARE = 0.8
 
+# Factor on the expected duration of an answer, as the caller's estimate of its length
+# is often too low.
+EXPECTED_END_MARGIN = 1.5
+
 # Allowed regions when a route and a team have none in common. An empty set would allow
 # every region, and no region is named "".
 NO_COMMON_REGION = frozenset({""})
@@ -228,6 +233,18 @@
         estimate = self.request.expected_output_tokens
         return max(1, estimate or self.request.max_output_tokens // 2)
 
+    def expected_end_s(self) -> float:
+        """Return the time by which its answer is expected to be whole, with a margin.
+
+        The caller states how long the answer of an engine is. Others may take all the
+        time that they have.
+        """
+        if self.service.engine is None or not self.request.states_output:
+            return self.end_s
+        answer_s = expected_answer_s(self.expected_tokens, MIN_PREFILL_SHARE)
+        expected_s = self.objective_s + EXPECTED_END_MARGIN * answer_s
+        return min(self.end_s, expected_s)
+
     @property
     def streams(self) -> bool:
         """Whether the response is an event stream."""
--- a/src/shallotroad/platform/headers.py
+++ b/src/shallotroad/platform/headers.py
@@ -152,6 +152,11 @@
     expects_continue: bool
     forwarded: tuple[tuple[bytes, bytes], ...]
 
+    @property
+    def states_output(self) -> bool:
+        """Whether the caller states how long the output may be."""
+        return bool(self.expected_output_tokens or self.max_output_tokens)
+
 
 class ResponseHead(NamedTuple):
     """Status and headers of an endpoint's response.
--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -6,6 +6,7 @@
 import signal
 from functools import partial
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 import pytest
 from devtools.dependency_standins import HOST
@@ -129,3 +130,78 @@
         )
     await read_to_end(reader)
     writer.close()
+
+
+class LateRequest(NamedTuple):
+    """A request that a stopping gateway receives, and the answer that it must get.
+
+    ``statuses`` has the statuses that may answer it; a stream must be complete.
+    ``reaches`` says whether the endpoint receives it.
+    """
+
+    path: str
+    mode: str
+    headers: dict[str, str]
+    statuses: tuple[bytes, ...]
+    reaches: bool
+
+
+LATE_REQUESTS = {
+    "booking-that-may-take-long": LateRequest("/book/1", "mute", {}, (b"503",), False),
+    "short-booking": LateRequest("/short/1", "ok", {}, (b"200",), True),
+    "look-up": LateRequest("/stock/1", "ok", {}, (b"200",), True),
+    "long-look-up": LateRequest("/stock/1", "mute", {}, (b"502", b"504"), True),
+    "short-stream": LateRequest(
+        "/chat/1", "stream", {"X-Token-Usage": "100,60"}, (b"200",), True
+    ),
+    "long-stream": LateRequest(
+        "/chat/1", "stream", {"X-Token-Usage": "100,4000"}, (b"503",), False
+    ),
+    "resumable-stream": LateRequest(
+        "/notes/1", "stream", {"X-Token-Usage": "100,4000"}, (b"200",), True
+    ),
+}
+
+
+# Guards against requests that come late in the grace period, are passed on, and are cut
+# without an answer at its end, among them requests that must run once.
+@pytest.mark.parametrize("kept", [True, False])
+@pytest.mark.parametrize("late", LATE_REQUESTS.values(), ids=LATE_REQUESTS)
+async def test_a_request_after_the_stop_signal_is_refused_if_it_can_not_end(
+    harness: GatewayHarness, late: LateRequest, *, kept: bool
+) -> None:
+    service = "model" if late.mode == "stream" else "shop"
+    endpoint = await harness.add_endpoint("e1", service, late.mode)
+    endpoint.event_count, endpoint.event_gap_s = 4, 0.1
+    harness.publish(
+        2,
+        [
+            RouteSpec("/book/", "unsafe", "shop", LONG_TIMEOUT_MS, 1),
+            RouteSpec("/short/", "unsafe", "shop", 2000, 1),
+            RouteSpec("/stock/", "safe", "shop", LONG_TIMEOUT_MS, 1),
+            RouteSpec("/chat/", "streaming", "model", LONG_TIMEOUT_MS, 1),
+            RouteSpec("/notes/", "streaming", "model", LONG_TIMEOUT_MS, resumable=True),
+        ],
+    )
+    await harness.start()
+    reader, writer = await connect(harness)
+    if kept:
+        writer.write(encode_post("/none/1", "q0"))
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 404")
+    harness.send_signal("g1", signal.SIGTERM)
+    await asyncio.sleep(1.5)
+    if not kept:
+        writer.close()
+        reader, writer = await connect(harness)
+    extra = "".join(f"{name}: {value}\r\n" for name, value in late.headers.items())
+    request = encode_post(late.path, "q1", LONG_TIMEOUT_MS)
+    writer.write(request.replace(b"\r\n\r\n", f"\r\n{extra}\r\n".encode()))
+    received = await read_to_end(reader)
+    assert received[len(b"HTTP/1.1 ") :][:3] in late.statuses
+    if late.statuses == (b"503",):
+        assert b"Retry-After: 0.00" in received
+    if late.mode == "stream" and late.reaches:
+        assert received.endswith(b"0\r\n\r\n")
+    assert bool(endpoint.received) == late.reaches
+    assert await asyncio.wait_for(harness.processes["g1"].wait(), 8) == 0
+    writer.close()
