--- a/tests/unit/gateway/test_crash_exchange.py
+++ b/tests/unit/gateway/test_crash_exchange.py
@@ -89,6 +89,23 @@
     ]
 
 
+async def test_a_gateway_that_starts_later_learns_of_a_request_by_one_exchange() -> (
+    None
+):
+    network = LossyNetwork(count=2, delay_s=0.02, loss=1.0, seed=1)
+    first, second = network.gateways.values()
+    for number in range(300):
+        await asyncio.sleep(1.0)
+        key = "request:bad" if number in (1, 7, 9) else f"request:{number}"
+        first.correlation.record_crash(
+            Incarnation(f"e{number}", 1), [(key,)], loop_time()
+        )
+    second.exchange.merge(first.exchange.rows())
+    assert [set(v.keys) for v in second.correlation.verdicts(loop_time())] == [
+        {"request:bad"}
+    ]
+
+
 @pytest.mark.parametrize(
     "rows", [None, 3, "x", [1], [None, [], ["lost"]], [["new", 1]]]
 )
