Specify what gateways do with the statements of an endpoint

Invariants: a run that is known to leave gets nothing, quiet is kept, the limit holds; the restarted endpoint can always be used again.

--- a/devtools/spec/check.py
+++ b/devtools/spec/check.py
@@ -17,6 +17,7 @@
 
 from devtools.spec import configuration
 from devtools.spec import once_only
+from devtools.spec import statements
 
 
 if TYPE_CHECKING:
@@ -108,6 +109,21 @@
         },
         goal=configuration.converged,
     ),
+    Spec(
+        name="statements",
+        fields=statements.State._fields,
+        initial=statements.initial(),
+        reduced_initial=statements.initial(),
+        state=statements.State,
+        steps=statements.steps,
+        guards=statements.Guards(),
+        invariants={
+            "leaving gets nothing": statements.leaving_gets_nothing,
+            "quiet is kept": statements.quiet_is_kept,
+            "limit holds": statements.limit_holds,
+        },
+        goal=statements.used_again,
+    ),
 )
 
 
