Obey endpoints that say that they leave, or that they want quiet

Change: an answer that says so makes the endpoint leave for all gateways at once, whatever the store says, until it starts again or five minutes have passed. A time to retry keeps this gateway away for that time, a minute at most; others may send. Each attempt looks at both again before it is sent, so that what was queued or placed before goes elsewhere as not run. Cache surveys obey as well, and losses at such an endpoint count as those of a leaving one. While all endpoints want quiet a request is refused at once with the time to the first end. Dates, negative and other malformed values ask for nothing; another endpoint at the address (421) and unsigned answers say nothing.

--- a/devtools/dependency_standins.py
+++ b/devtools/dependency_standins.py
@@ -188,7 +188,8 @@
     ``received_s`` the times of the event loop at which requests arrived.
 
     Its responses state ``limit_per_s``, the requests a second that it takes from all
-    gateways together, unless it is empty.
+    gateways together, unless it is empty, and that it leaves if ``leaving`` is set. In
+    the mode ``full`` they state ``retry_after``, unless it is empty.
 
     A request whose prompt has the part ``deadly_part`` crashes the endpoint in any
     mode: all its connections end, and it starts again after ``RESTART_DELAY_S``.
@@ -210,6 +211,8 @@
         self.received: list[ReceivedRequest] = []
         self.received_s: list[float] = []
         self.limit_per_s = ""
+        self.leaving = False
+        self.retry_after = ""
         self.executed_ids: list[str] = []
         self._cached_prefixes: list[tuple[str, int]] = []
         self._cache_list = self._encode_cache_list()
@@ -334,6 +337,8 @@
 
         ``extra`` are further header lines, each ended by CRLF.
         """
+        if self.leaving:
+            extra += "Server-Leaving: 1\r\n"
         if self.limit_per_s:
             extra += f"Server-Limit: {self.limit_per_s}\r\n"
         text = f"HTTP/1.1 {status}\r\nX-Request-Id: {request.request_id}\r\n{extra}\r\n"
@@ -354,6 +359,8 @@
             return True
         if self.mode == "full":
             extra = "X-Not-Executed: 1\r\nContent-Length: 0\r\n"
+            if self.retry_after:
+                extra += f"Retry-After: {self.retry_after}\r\n"
             writer.write(self._response_head(request, "503 Unavailable", extra))
             return True
         if self.mode.startswith("refusal-again") and not self._refusals:
--- a/src/shallotroad/gateway/cache_survey.py
+++ b/src/shallotroad/gateway/cache_survey.py
@@ -104,12 +104,14 @@
     async def _survey(self, cell: Cell) -> None:
         """Survey the engines of a cell at once, then call ``on_done``.
 
-        A survey would count as a request at engines that limit these.
+        A survey would count as a request at engines that limit these, or want none.
         """
+        registry = self._endpoint_registry
         loads = [
             load
-            for load in self._endpoint_registry.active_loads(cell)
+            for load in registry.active_loads(cell)
             if load.limit_per_s is None
+            and registry.takes_requests(load.record.identifier)
         ]
         try:
             counts = await asyncio.gather(
--- a/src/shallotroad/gateway/coordination/messages.py
+++ b/src/shallotroad/gateway/coordination/messages.py
@@ -323,12 +323,14 @@
 def _decode_stated(fields: list[Any], now_s: float) -> Stated:
     # Later versions may send more statements.
     endpoint, started_at_ms, age_ms, limit_per_s = fields[:4]
+    leaving = fields[4] if len(fields) > 4 else False
     if limit_per_s is not None and not is_valid_limit(_finite(limit_per_s)):
         raise ValueError(f"limit of {limit_per_s!r} requests a second")
     statement = EndpointStatement(
         started_at_ms=int(started_at_ms),
         said_s=now_s - max(0.0, _finite(age_ms)) / 1000,
         limit_per_s=None if limit_per_s is None else float(limit_per_s),
+        leaving=bool(leaving),
     )
     return Stated(str(endpoint), statement)
 
@@ -375,10 +377,10 @@
     if isinstance(message, CrashNews):
         return orjson.dumps(["crash", message.rows])
     if isinstance(message, Stated):
-        started_at_ms, said_s, limit_per_s = message.statement
+        started_at_ms, said_s, *statements = message.statement
         age_ms = round((now_s - said_s) * 1000, 3)
         return orjson.dumps(
-            ["said", message.endpoint, started_at_ms, age_ms, limit_per_s]
+            ["said", message.endpoint, started_at_ms, age_ms, *statements]
         )
     if isinstance(message, Started):
         fields = [message.number, round(message.first_event_ms)]
--- a/src/shallotroad/gateway/coordination/placement_client.py
+++ b/src/shallotroad/gateway/coordination/placement_client.py
@@ -151,6 +151,7 @@
         started_s = self._clock()
         try:
             service = job.service
+            self._check_quiet(job)
             if service.engine is None and not self._endpoint_registry.states_limit(
                 service.name
             ):
@@ -162,6 +163,21 @@
         finally:
             job.waited_ms += (self._clock() - started_s) * 1000
 
+    def _check_quiet(self, job: Job) -> None:
+        """Refuse a job if all endpoints want nothing from this gateway.
+
+        Another gateway may still serve it, so its caller need not wait for longer than
+        is of use.
+        """
+        every_endpoint = Cell(job.service.name)
+        quiet_s = self._endpoint_registry.quiet_s(every_endpoint)
+        if quiet_s:
+            request = self._placement_request(job, every_endpoint)
+            retry_after_s = min(quiet_s, self._admission.retry_after_s(request))
+            raise RefusedError(
+                "endpoints want no requests", retry_after_s=retry_after_s
+            )
+
     def _placement_request(self, job: Job, cell: Cell) -> PlacementRequest:
         request = job.placement_request(
             self._clock(), self._endpoint_registry.unusable_endpoints(cell)
--- a/src/shallotroad/gateway/crash_monitor.py
+++ b/src/shallotroad/gateway/crash_monitor.py
@@ -110,12 +110,12 @@
     return hashlib.blake2b(data, digest_size=12).hexdigest()
 
 
-def _cause(lost: list[LostAttempt], *, accepts: bool, draining: bool) -> str:
+def _cause(lost: list[LostAttempt], *, accepts: bool, leaving: bool) -> str:
     """Return why attempts at an endpoint were lost; empty if they were only slow."""
     silent = all(attempt.silent for attempt in lost)
     if accepts:
         return "" if silent else "reset"
-    if draining:
+    if leaving:
         return "leaving"
     return "silent" if silent else "crash"
 
@@ -197,6 +197,8 @@
         Returns the monotonic time in seconds.
     accepts : callable
         Returns whether an address, host and port, accepts connections.
+    is_leaving : callable
+        Returns whether the endpoint of an identifier takes no more requests.
     """
 
     def __init__(
@@ -208,6 +210,7 @@
         metrics: GatewayMetrics,
         clock: Callable[[], float],
         accepts: Callable[[str, int], Awaitable[bool]] = accepts_connections,
+        is_leaving: Callable[[str], bool] = lambda _: False,
     ) -> None:
         self._correlation = correlation
         self._exchange = exchange
@@ -215,6 +218,7 @@
         self._metrics = metrics
         self._clock = clock
         self._accepts = accepts
+        self._is_leaving = is_leaving
         self._lost: dict[Incarnation, list[LostAttempt]] = {}
         self._asked: dict[str, AskedEndpoint] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -285,7 +289,8 @@
             accepts = True
         finally:
             lost = self._lost.pop(incarnation)
-        cause = _cause(lost, accepts=accepts, draining=record.draining)
+        leaving = record.draining or self._is_leaving(record.identifier)
+        cause = _cause(lost, accepts=accepts, leaving=leaving)
         if not cause:
             return
         self._metrics.endpoint_losses.inc({"cause": cause})
--- a/src/shallotroad/gateway/endpoint_registry.py
+++ b/src/shallotroad/gateway/endpoint_registry.py
@@ -71,7 +71,7 @@
         elif (record.host, record.port) != (load.record.host, load.record.port):
             self._open_pool(record)
             if record.started_at_ms != load.record.started_at_ms:
-                load.statement = None
+                load.forget_statements()
         elif record.started_at_ms > load.record.started_at_ms:
             load.restart(record, now_s)
             self._open_pool(record)
@@ -156,8 +156,9 @@
         self._cell_loads.pop(service, None)
 
     def active_loads(self, cell: Cell) -> list[EndpointLoad]:
-        """Return the loads of the endpoints of a cell that are not draining."""
-        return [load for load in self._loads_of(cell) if not load.record.draining]
+        """Return the loads of the endpoints of a cell that are not leaving."""
+        now_s = self._clock()
+        return [load for load in self._loads_of(cell) if not load.is_leaving(now_s)]
 
     def open_loads(self, cell: Cell) -> list[EndpointLoad]:
         """Return the active loads of a cell outside closed data centres."""
@@ -168,6 +169,28 @@
             if load.record.data_centre not in closed_data_centres
         ]
 
+    def is_leaving(self, identifier: str) -> bool:
+        """Return whether an endpoint takes no more requests."""
+        load = self.loads.get(identifier)
+        return load is not None and load.is_leaving(self._clock())
+
+    def takes_requests(self, identifier: str) -> bool:
+        """Return whether an endpoint takes requests of this gateway now."""
+        load = self.loads.get(identifier)
+        now_s = self._clock()
+        return load is None or (
+            not load.is_leaving(now_s) and load.quiet_until_s <= now_s
+        )
+
+    def quiet_s(self, cell: Cell) -> float:
+        """Return how long all endpoints of a cell want nothing from this gateway.
+
+        0 if some take requests, or if none is left.
+        """
+        now_s = self._clock()
+        times_s = [load.quiet_until_s - now_s for load in self.open_loads(cell)]
+        return max(0.0, min(times_s, default=0.0))
+
     def states_limit(self, service: str) -> bool:
         """Return whether some endpoint of a service limits its requests."""
         return any(
@@ -211,15 +234,16 @@
     def unusable_endpoints(self, cell: Cell) -> frozenset[str]:
         """Return the endpoints of a cell that this gateway must not use now.
 
-        These are draining, in a closed data centre, or avoided after a connection
-        failure.
+        These are leaving, in a closed data centre, avoided after a connection failure,
+        or want nothing from this gateway for a while.
         """
         now_s = self._clock()
         closed_data_centres = self._closed_data_centres
         return frozenset(
             load.record.identifier
             for load in self._loads_of(cell)
-            if load.record.draining
+            if load.is_leaving(now_s)
+            or load.quiet_until_s > now_s
             or load.record.data_centre in closed_data_centres
             or load.avoided_until_s > now_s
         )
--- a/src/shallotroad/gateway/endpoint_statements.py
+++ b/src/shallotroad/gateway/endpoint_statements.py
@@ -2,7 +2,8 @@
 
 Each answer repeats what holds. A gateway keeps the latest statement of an endpoint in
 its load, and passes it on to the coordinators of the endpoint's cell, which tell it to
-the gateways that they send there.
+the gateways that they send there. That an endpoint leaves is told to all gateways; for
+how long it wants nothing from this one is told to none.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 
 from shallotroad.gateway.coordination.messages import Stated
 from shallotroad.observability.event_log import log_event
+from shallotroad.policy.endpoint_statement import MAX_QUIET_S
 from shallotroad.policy.endpoint_statement import EndpointStatement
 
 
@@ -38,6 +40,9 @@
     ----------
     coordinators : callable
         Returns the names of the coordinators of a cell, the preferred one first.
+    live_names : callable
+        Returns the names of the live gateways at a monotonic time. All of them are told
+        that an endpoint leaves.
     send : callable
         Sends a message to the gateway of a name, without any guarantee of delivery.
     clock : callable
@@ -49,12 +54,14 @@
         *,
         endpoint_registry: EndpointRegistry,
         coordinators: Callable[[Cell], list[str]],
+        live_names: Callable[[float], list[str]],
         send: Callable[[str, Message], None],
         metrics: GatewayMetrics,
         clock: Callable[[], float],
     ) -> None:
         self._endpoint_registry = endpoint_registry
         self._coordinators = coordinators
+        self._live_names = live_names
         self._send = send
         self._metrics = metrics
         self._clock = clock
@@ -76,16 +83,38 @@
         load = self._endpoint_registry.loads.get(record.identifier)
         if load is None or head.other_endpoint or not (head.signed or head.not_run):
             return
+        if head.quiet_s:
+            self._record_quiet(load, record, head.quiet_s)
         limited = load.limit_per_s is not None
-        if head.limit_per_s is None and not (limited and self._is_later(load, sent_s)):
+        ends_limit = limited and self._is_later(load, sent_s)
+        if head.limit_per_s is None and not head.leaving and not ends_limit:
             return
         now_s = self._clock()
-        statement = EndpointStatement(record.started_at_ms, now_s, head.limit_per_s)
+        statement = EndpointStatement(
+            record.started_at_ms, now_s, head.limit_per_s, head.leaving
+        )
+        was_leaving = load.is_leaving(now_s)
         changed = self._apply(load, statement, "answer")
+        if load.is_leaving(now_s) and not was_leaving:
+            self._tell(self._live_names(now_s), load, statement)
+            return
         told_s = self._told_s.get(record.identifier)
         if changed or told_s is None or now_s - told_s >= REPEAT_INTERVAL_S:
             self._tell_coordinators(load, statement, now_s)
 
+    def _record_quiet(
+        self, load: EndpointLoad, record: EndpointRecord, quiet_s: float
+    ) -> None:
+        """Keep for how long an endpoint wants nothing from this gateway."""
+        if record.started_at_ms != load.record.started_at_ms:
+            return
+        until_s = self._clock() + min(quiet_s, MAX_QUIET_S)
+        if until_s <= load.quiet_until_s:
+            return
+        load.quiet_until_s = until_s
+        self._metrics.statements.inc({"source": "quiet"})
+        log_event("endpoint asks for quiet", endpoint=record.identifier, for_s=quiet_s)
+
     @staticmethod
     def _is_later(load: EndpointLoad, sent_s: float) -> bool:
         return load.statement is None or sent_s > load.statement.said_s
@@ -101,8 +130,13 @@
         }
         self._told_s[identifier] = now_s
         cell = self._endpoint_registry.cell_of(load)
-        for name in self._coordinators(cell)[:TOLD_COORDINATORS]:
-            self._send(name, Stated(identifier, statement))
+        self._tell(self._coordinators(cell)[:TOLD_COORDINATORS], load, statement)
+
+    def _tell(
+        self, names: list[str], load: EndpointLoad, statement: EndpointStatement
+    ) -> None:
+        for name in names:
+            self._send(name, Stated(load.record.identifier, statement))
 
     def merge(self, message: Stated) -> None:
         """Take over what another gateway was told by an endpoint."""
@@ -114,9 +148,11 @@
         self, load: EndpointLoad, statement: EndpointStatement, source: str
     ) -> bool:
         previous_per_s = load.limit_per_s
-        changed = load.apply_statement(statement)
-        if changed:
-            self._metrics.statements.inc({"source": source})
+        was_leaving = load.is_leaving(self._clock())
+        if not load.apply_statement(statement):
+            return False
+        self._metrics.statements.inc({"source": source})
+        if load.limit_per_s != previous_per_s:
             log_event(
                 "endpoint limit changed",
                 endpoint=load.record.identifier,
@@ -125,5 +161,12 @@
                 limit_per_s=statement.limit_per_s,
                 previous_per_s=previous_per_s,
             )
-            self._endpoint_registry.on_changed()
-        return changed
+        if load.is_leaving(self._clock()) and not was_leaving:
+            log_event(
+                "endpoint leaving",
+                endpoint=load.record.identifier,
+                started_at_ms=statement.started_at_ms,
+                source=source,
+            )
+        self._endpoint_registry.on_changed()
+        return True
--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -205,10 +205,12 @@
         membership=membership,
         metrics=metrics,
         clock=clock,
+        is_leaving=endpoint_registry.is_leaving,
     )
     statements = EndpointStatements(
         endpoint_registry=endpoint_registry,
         coordinators=placement_client.coordinators,
+        live_names=membership.live_names,
         send=coordination_protocol.send,
         metrics=metrics,
         clock=clock,
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -383,8 +383,8 @@
         Raises
         ------
         NotRunError
-            When the endpoint is no longer registered, accepts no connection, or states
-            that it did not run the request.
+            When the endpoint is no longer registered, takes no requests of this gateway
+            any more, accepts no connection, or states that it did not run the request.
         AttemptOutcomeUnknownError
             When the connection is lost, the response is malformed or late, or
             ``_receive`` raises it.
@@ -405,6 +405,8 @@
         try:
             if pool is None:
                 raise NotRunError("endpoint is no longer registered", sent=False)
+            if not self._endpoint_registry.takes_requests(identifier):
+                raise NotRunError("endpoint leaves or wants no requests", sent=False)
             max_idle_s = (
                 REPEATABLE_MAX_IDLE_S
                 if job.route.repeatable
--- a/src/shallotroad/platform/headers.py
+++ b/src/shallotroad/platform/headers.py
@@ -32,6 +32,9 @@
 EXPECTED_ENDPOINT = b"x-expect-replica"
 # The value is a decimal number of requests a second, from all callers together.
 STATED_LIMIT = b"server-limit"
+# Stands in all answers of an endpoint that leaves, with the value 1.
+LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 # The router does not read this header; it is forwarded like any other.
 RESPONDING_ENDPOINT = b"x-replica-id"
 # The value is 0 for the most urgent requests to 9; only engines receive it.
@@ -191,6 +194,11 @@
     limit_per_s : float or None
         Requests a second that the endpoint takes from all callers together; None when
         it is not stated or malformed.
+    leaving : bool
+        Whether the endpoint leaves.
+    quiet_s : float
+        Time for which the endpoint wants nothing from this gateway; 0 when it has not
+        turned the request away or states no time.
     forwarded : tuple
         Headers to forward to the caller: all but those that apply to one connection.
     """
@@ -208,6 +216,8 @@
     encoded: bool
     event_stream: bool
     limit_per_s: float | None
+    leaving: bool
+    quiet_s: float
     forwarded: tuple[tuple[bytes, bytes], ...]
 
 
@@ -222,6 +232,13 @@
     return limit_per_s if is_valid_limit(limit_per_s) else None
 
 
+def _decode_decimal(text: bytes | None) -> float:
+    """Return a decimal number; 0 for anything else, such as a date."""
+    if text is None or not DECIMAL.fullmatch(text.strip()):
+        return 0.0
+    return float(text)
+
+
 def _decode_prompt_parts(text: bytes) -> tuple[PromptPart, ...]:
     parts = []
     for item in text.decode("latin-1").split(","):
@@ -322,7 +339,8 @@
 def decode_response(status: int, raw: Iterable[tuple[bytes, bytes]]) -> ResponseHead:
     """Decode the head of an endpoint's response.
 
-    A malformed ``Content-Length``, idle timeout or limit counts as not stated.
+    A malformed ``Content-Length``, idle timeout, limit or time to retry counts as not
+    stated.
     """
     pairs = list(raw)
     headers = {name.lower(): value for name, value in pairs}
@@ -350,5 +368,7 @@
         .lower()
         .startswith(b"text/event-stream"),
         limit_per_s=_decode_limit(headers.get(STATED_LIMIT)),
+        leaving=headers.get(LEAVING, b"").strip() == b"1",
+        quiet_s=_decode_decimal(headers.get(RETRY_AFTER)) if status == 503 else 0.0,
         forwarded=tuple((n, v) for n, v in pairs if n.lower() not in not_forwarded),
     )
--- a/src/shallotroad/policy/endpoint_load.py
+++ b/src/shallotroad/policy/endpoint_load.py
@@ -28,6 +28,7 @@
 from typing import TYPE_CHECKING
 
 from shallotroad.policy.decode_pace import DecodeFactor
+from shallotroad.policy.endpoint_statement import MAX_LEAVING_S
 
 
 if TYPE_CHECKING:
@@ -142,6 +143,12 @@
         Factor by which the endpoint is slower than the nominal prefill speed.
     statement : EndpointStatement or None
         What it last said of itself; None before that.
+    leaving_until_s : float
+        Time until which it counts as leaving, because it said so in an answer; 0 if it
+        never did.
+    quiet_until_s : float
+        Time until which it wants no requests of this gateway, whatever others may send;
+        0 if it never asked for that.
     kv_cache_tokens : int
         Capacity of the engine's KV cache; 0 when it is unknown. ``Admission`` sets it
         from the configuration when it places a request there.
@@ -171,6 +178,8 @@
         self.kv_cache_tokens = 0
         self.avoided_until_s = 0.0
         self.statement: EndpointStatement | None = None
+        self.leaving_until_s = 0.0
+        self.quiet_until_s = 0.0
 
     # Statements
 
@@ -180,18 +189,30 @@
         return self.statement.limit_per_s if self.statement is not None else None
 
     def apply_statement(self, statement: EndpointStatement) -> bool:
-        """Keep a statement if it is the latest; return whether it changes the limit.
+        """Keep a statement if it is the latest; return whether it changes anything.
 
         One that an earlier incarnation of the endpoint has made is ignored.
         """
         if statement.started_at_ms != self.record.started_at_ms:
             return False
-        known = self.statement
-        if known is not None and statement.said_s <= known.said_s:
-            return False
-        previous_per_s = self.limit_per_s
-        self.statement = statement
-        return statement.limit_per_s != previous_per_s
+        changed = False
+        if statement.leaving and statement.said_s >= self.leaving_until_s:
+            self.leaving_until_s = statement.said_s + MAX_LEAVING_S
+            changed = True
+        if self.statement is None or statement.said_s > self.statement.said_s:
+            changed = changed or statement.limit_per_s != self.limit_per_s
+            self.statement = statement
+        return changed
+
+    def forget_statements(self) -> None:
+        """Forget what an earlier incarnation has said."""
+        self.statement = None
+        self.leaving_until_s = 0.0
+        self.quiet_until_s = 0.0
+
+    def is_leaving(self, now_s: float) -> bool:
+        """Return whether it takes no more requests, as it announced or said."""
+        return self.record.draining or now_s < self.leaving_until_s
 
     # Work
 
@@ -440,7 +461,7 @@
         """
         self.record = record
         self.last_seen_s = now_s
-        self.statement = None
+        self.forget_statements()
         self.slowness = 1.0
         self._decode_factor = DecodeFactor()
         self._parts.clear()
--- a/tests/coordination_builders.py
+++ b/tests/coordination_builders.py
@@ -159,6 +159,7 @@
     statements = EndpointStatements(
         endpoint_registry=admission_fixture.endpoint_registry,
         coordinators=placement_client.coordinators,
+        live_names=membership.live_names,
         send=protocol.send,
         metrics=GatewayMetrics(),
         clock=clock,
