--- a/src/shallotroad/gateway/membership.py
+++ b/src/shallotroad/gateway/membership.py
@@ -14,6 +14,8 @@
 from typing import Any
 from typing import NamedTuple
 
+from shallotroad.platform.documents import MAX_NUMBER
+
 
 if TYPE_CHECKING:
     from random import Random
@@ -40,8 +42,6 @@
 # Peers needed in the gateway's own data centre before they are preferred.
 MIN_LOCAL_PEERS = 3
 MAX_PORTS = 65_536
-# Larger numbers could not all be sent on.
-MAX_NUMBER = 2**53
 
 
 class Member(NamedTuple):
