Let the next dispatch place queued requests while all limits are used up

While all engines state a limit, each submission dispatched the whole queue.

Change: such a submission joins the queue if others wait there, and the next dispatch, 50 ms later at most, places them in order.

--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -272,15 +272,16 @@
         now_s = self._clock()
         if request.profile.gap_tolerant:
             self._update_prefill_shares(request)
-        if self._dispatch_timer is not None or self._limits_all(request):
+        if self._dispatch_timer is not None:
             self.dispatch_queued()  # queued requests may be more urgent
-        placement = self._try_place(
-            request,
-            PlacementRound(endpoint_registry=self._endpoint_registry, now_s=now_s),
-        )
-        if placement is not None:
-            on_placed(placement)
-            return None
+        if not self._limits_all(request):
+            placement = self._try_place(
+                request,
+                PlacementRound(endpoint_registry=self._endpoint_registry, now_s=now_s),
+            )
+            if placement is not None:
+                on_placed(placement)
+                return None
         usable_loads = self._endpoint_registry.usable_loads(request)
         if not usable_loads:
             raise RefusedError("no endpoint", retry_after_s=self.retry_after_s(request))
@@ -307,12 +308,13 @@
         return queued
 
     def _limits_all(self, request: PlacementRequest) -> bool:
-        """Return whether all endpoints that may serve a request state a limit.
+        """Return whether others wait and all endpoints for a request state a limit.
 
-        Then the next permit is for a queued request, if there is one.
+        Then the next permit is for a queued request, which the next dispatch places. A
+        dispatch for each request would cost a busy coordinator most of its time.
         """
         return (
-            bool(self._queue)
+            any(queued.request.cell == request.cell for queued in self._queue)
             and self._endpoint_registry.states_limit(request.service)
             and all(
                 load.limit_per_s is not None
