Tell all gateways of a new limit, as any of them may have to place requests

Cause: a limit was told to the coordinator and its successor only, and to gateways that were sent to the endpoint.

Change: what is new goes to all live gateways, as that an endpoint leaves did; repeats go to the coordinators as before. Gateways that are not the coordinator give no permits, so they use engines without a limit until the views of the members agree on another one.

--- a/src/shallotroad/gateway/endpoint_statements.py
+++ b/src/shallotroad/gateway/endpoint_statements.py
@@ -1,9 +1,9 @@
 """Keeps what endpoints say of themselves in their answers, and tells who places.
 
 Each answer repeats what holds. A gateway keeps the latest statement of an endpoint in
-its load, and passes it on to the coordinators of the endpoint's cell, which tell it to
-the gateways that they send there. That an endpoint leaves is told to all gateways; for
-how long it wants nothing from this one is told to none.
+its load. It tells what is new to all gateways, any of which may have to place requests,
+and repeats it to the coordinators of the endpoint's cell, which tell it to the gateways
+that they send there. For how long it wants nothing from this gateway is told to none.
 """
 
 from __future__ import annotations
@@ -41,8 +41,7 @@
     coordinators : callable
         Returns the names of the coordinators of a cell, the preferred one first.
     live_names : callable
-        Returns the names of the live gateways at a monotonic time. All of them are told
-        that an endpoint leaves.
+        Returns the names of the live gateways at a monotonic time.
     send : callable
         Sends a message to the gateway of a name, without any guarantee of delivery.
     clock : callable
@@ -93,13 +92,11 @@
         statement = EndpointStatement(
             record.started_at_ms, now_s, head.limit_per_s, head.leaving
         )
-        was_leaving = load.is_leaving(now_s)
-        changed = self._apply(load, statement, "answer")
-        if load.is_leaving(now_s) and not was_leaving:
+        if self._apply(load, statement, "answer"):
             self._tell(self._live_names(now_s), load, statement)
             return
         told_s = self._told_s.get(record.identifier)
-        if changed or told_s is None or now_s - told_s >= REPEAT_INTERVAL_S:
+        if told_s is None or now_s - told_s >= REPEAT_INTERVAL_S:
             self._tell_coordinators(load, statement, now_s)
 
     def _record_quiet(
