--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -27,6 +27,7 @@
 HOST = "127.0.0.1"
 KEY = "n2ctnfzs989anu6wsjnb"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+HISTORY_S = 20.0  # history-s of the store
 METRICS_PORT = 9464  # deploy/system.toml
 CLIENT_HOST = "clinic.example"
 
@@ -78,6 +79,7 @@
         self.revision = 1
         self.items: dict[str, tuple[int, bytes]] = {}
         self.changes: list[tuple[int, str, bytes | None]] = []
+        self._changed_s: list[float] = []
         self._changed = asyncio.Event()
         self.port = 0
         self._server: asyncio.Server | None = None
@@ -101,6 +103,7 @@
         else:
             self.items[key] = (self.revision, raw)
         self.changes.append((self.revision, key, raw))
+        self._changed_s.append(time.monotonic())
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
@@ -117,11 +120,23 @@
             "lease": 0,
         }
 
-    async def _answer(self, target: str) -> dict[str, object]:
+    def _is_dropped(self, after: int) -> bool:
+        """Return whether a change after a revision is older than the history."""
+        oldest_s = time.monotonic() - HISTORY_S
+        return any(
+            revision > after and changed_s < oldest_s
+            for (revision, _, _), changed_s in zip(
+                self.changes, self._changed_s, strict=True
+            )
+        )
+
+    async def _answer(self, target: str) -> dict[str, object] | None:
         path, _, query = target.partition("?")
         fields = dict(part.partition("=")[::2] for part in query.split("&") if part)
         if path.endswith("kv-watch"):
             after = int(fields["after"])
+            if self._is_dropped(after):
+                return None
             if after >= self.revision:
                 try:
                     wait_s = int(fields["wait-ms"]) / 1000
@@ -139,9 +154,11 @@
         try:
             while True:
                 first, _ = await read_head(reader)
-                body = json.dumps(await self._answer(first.split(" ")[1])).encode()
+                answer = await self._answer(first.split(" ")[1])
+                status = "410 Gone" if answer is None else "200 OK"
+                body = json.dumps(answer or {}).encode()
                 head = (
-                    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                    f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
                     f"Content-Length: {len(body)}\r\n\r\n"
                 )
                 writer.write(head.encode() + body)
@@ -281,11 +298,19 @@
 class Gateway:
     """One gateway process, at an address of its own in 127.0.0.0/8."""
 
-    def __init__(self, *, number: int, folder: Path, store_port: int) -> None:
+    def __init__(
+        self,
+        *,
+        number: int,
+        folder: Path,
+        store_port: int,
+        propagation_s: float = 2.0,
+    ) -> None:
         self.name = f"front-amman-a-{number}"
         self.ip = free_address()
         self._folder = folder
         self._store_port = store_port
+        self._propagation_ms = round(1000 * propagation_s)
         self.ports = {k: free_port() for k in ("front", "ready", "control", "udp")}
         self.process: subprocess.Popen[bytes] | None = None
 
@@ -306,7 +331,8 @@
             "[limits]\ncpu-share = 0.817\ncores = 1\nmemory-mb = 300\nmax-fds = 4100\n"
             "link-mbps = 1000.0\ndisk-mb = 0\n[bounds]\ncontact-ms = 3000\n"
             "drain-timeout-ms = 2000\ngrace-s = 8\nloss-slack-ms = 200\n"
-            "config-propagation-ms = 2000\nretry-budget-ratio = 0.2\n"
+            f"config-propagation-ms = {self._propagation_ms}\n"
+            "retry-budget-ratio = 0.2\n"
             "budget-window-s = 10\nbudget-slack = 56\nagain-s = 10\n"
             f'[provider]\naddress = "{HOST}:{self._store_port}"\nform = "read"\n'
         )
@@ -399,13 +425,14 @@
     *,
     body: bytes = b"",
     deadline_ms: int = 10_000,
+    key: str = KEY,
 ) -> bytes:
     """Return a request as a client sends it."""
     length = f"Content-Length: {len(body)}\r\n" if body else ""
     return (
         f"{method} {path} HTTP/1.1\r\nHost: {CLIENT_HOST}\r\n"
         f"X-Request-Id: {request_id}\r\nX-Deadline-Ms: {deadline_ms}\r\n"
-        f"Authorization: Token {KEY}\r\n{length}\r\n"
+        f"Authorization: Token {key}\r\n{length}\r\n"
     ).encode() + body
 
 
