--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import random
@@ -29,6 +30,8 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HISTORY_S = 20.0  # history-s of the store
 METRICS_PORT = 9464  # deploy/system.toml
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
 CLIENT_HOST = "clinic.example"
 
 
@@ -295,6 +298,11 @@
     }
 
 
+def _end_with_parent() -> None:
+    """Let the kernel kill this process when the script ends, also by SIGKILL."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Gateway:
     """One gateway process, at an address of its own in 127.0.0.0/8."""
 
@@ -353,7 +361,12 @@
         }
         with (self._folder / f"{self.name}.log").open("ab") as log:
             self.process = subprocess.Popen(
-                command, cwd=ROOT, env=environment, stdout=log, stderr=log
+                command,
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+                preexec_fn=_end_with_parent,
             )
 
     async def wait_ready(self) -> None:
@@ -438,12 +451,19 @@
 
 def run_case(main, folder: Path) -> int:
     """Run ``main(record, folder)``; return 1 if it saw the rule broken, else 0."""
+    # As with Ctrl-C, asyncio then cancels the case, which ends its processes.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, lambda *_: signal.raise_signal(signal.SIGINT))
     record = Record(folder / "record.txt")
     temporary = Path(tempfile.mkdtemp(prefix="review-"))
     try:
         broken = asyncio.run(asyncio.wait_for(main(record, temporary), 110))
         record.add("result: the rule was broken" if broken else "result: the rule held")
         return 1 if broken else 0
+    except KeyboardInterrupt:
+        record.add("result: interrupted")
+        return 2
     except Exception as error:  # the case could not be run
         record.add(f"result: could not run: {error!r}")
         return 2
