Show that look-ups that were answered before crash their endpoints ten times

What callers saw: a look-up that had crashed its endpoints was sent to endpoints four times more than three seconds after its third crash; ten crashes in all.

The simulated load has look-ups without body and parts, repeated by the gateway and then by the caller within milliseconds, at four endpoints that come back under a new identifier.

--- a/tests/crash_builders.py
+++ b/tests/crash_builders.py
@@ -51,13 +51,15 @@
     accepts: Callable[[str, int], Awaitable[bool]] = refuse,
     send: Callable[[str, CrashNews], None] | None = None,
     seed: int = 1,
+    start: int = 1,
 ) -> CrashFixture:
+    """Return the parts of a gateway in its ``start``-th run."""
     sent: list[tuple[str, CrashNews]] = []
 
     def keep(target: str, news: CrashNews) -> None:
         sent.append((target, news))
 
-    correlation = CrashCorrelation(source=name)
+    correlation = CrashCorrelation(source=f"{name}:{start}")
     membership = Membership(
         name=name, address=f"{name}:1", incarnation=1, seeds=(), datagram_port=1
     )
@@ -94,6 +96,9 @@
     ) -> None:
         self._delay_s = delay_s
         self._loss = loss
+        self._seed = seed
+        self._accepts = accepts
+        self._starts = 1
         self._rng = random.Random(seed)
         self.datagrams = 0
         self.largest_datagram = 0
@@ -102,14 +107,27 @@
             name: make_crash_fixture(name, send=self._send, seed=seed, accepts=accepts)
             for name in names
         }
-        rows = [
-            row
-            for gateway in self.gateways.values()
-            for row in gateway.membership.snapshot()
-        ]
         for gateway in self.gateways.values():
+            self._introduce(gateway)
+
+    def _introduce(self, gateway: CrashFixture) -> None:
+        """Let a gateway know all others, which it takes for live from now on."""
+        for other in self.gateways.values():
+            rows = other.membership.snapshot()
             gateway.membership.merge([[*row[:3], 9, *row[4:]] for row in rows], 1e9)
 
+    def restart(self, name: str) -> None:
+        """Replace a gateway by one that knows no facts."""
+        self._starts += 1
+        self.gateways[name] = make_crash_fixture(
+            name,
+            send=self._send,
+            seed=self._seed,
+            accepts=self._accepts,
+            start=self._starts,
+        )
+        self._introduce(self.gateways[name])
+
     def _send(self, target: str, news: CrashNews) -> None:
         data = encode(news, 0.0)
         self.datagrams += 1
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections import defaultdict
 from typing import TYPE_CHECKING
@@ -37,11 +38,15 @@
 
 
 class Arrival(NamedTuple):
-    """A request as it arrived at an engine; times of the event loop."""
+    """A request as it arrived at an engine; times of the event loop.
+
+    ``since_start_s`` is how long the gateway that sent it had run.
+    """
 
     at_s: float
     parts: tuple[str, ...]
     body: bytes
+    since_start_s: float = math.inf
 
 
 class Engine:
@@ -58,13 +63,13 @@
         self.lost.set()
         self.lost = asyncio.Event()
 
-    async def crash(self) -> None:
+    async def crash(self, restart_s: float) -> None:
         """Crash, and start again later as another incarnation."""
         if not self.up:
             return
         self.up = False
         self.end_connections()
-        await asyncio.sleep(RESTART_S)
+        await asyncio.sleep(restart_s)
         self.started_at_ms += 1
         self.up = True
 
@@ -87,6 +92,16 @@
     silent : bool
         Whether the engines end no connection when they crash. A caller leaves then if
         no event has arrived, and the gateway's probes find a stream's connection dead.
+    renamed : bool
+        Whether an engine that starts again has another identifier.
+    restart_s : float
+        Time from the crash of an engine until it takes requests again.
+    first_event_s, stream_s : tuple of float
+        Limits of the time to the first event, and from there to the end.
+    repeat_s : tuple of float
+        Limits of the time after which a caller whose request failed sends it again.
+    max_attempts : int
+        Attempts that a gateway makes for one request.
     """
 
     def __init__(self, *, gateways: int, engines: int, seed: int) -> None:
@@ -105,6 +120,13 @@
         self.store_reachable = True
         self.draining = False
         self.silent = False
+        self.renamed = False
+        self.restart_s = RESTART_S
+        self.first_event_s = FIRST_EVENT_S
+        self.stream_s = STREAM_S
+        self.repeat_s = REPEAT_S
+        self.max_attempts = MAX_ATTEMPTS
+        self.gateway_starts_s: dict[str, float] = {}
         self.body_crashes_s: dict[bytes, list[float]] = defaultdict(list)
         self.arrivals: list[Arrival] = []
         self.crash_times_s: list[float] = []
@@ -126,7 +148,13 @@
     def lose_power(self, share: float) -> None:
         """Crash a share of the engines at one moment."""
         for engine in self.rng.sample(self.engines, round(share * len(self.engines))):
-            self.start(engine.crash())
+            self.start(engine.crash(self.restart_s))
+
+    def restart_gateway(self) -> None:
+        """Let a random gateway start again, so that it knows no facts."""
+        name = self.rng.choice(list(self.network.gateways))
+        self.network.restart(name)
+        self.gateway_starts_s[name] = loop_time()
 
     def reset_connections(self) -> None:
         """End all connections to one engine, which goes on running."""
@@ -159,21 +187,25 @@
         every_s: float,
         for_s: float,
         copies: int = 1,
+        repeats: int = 0,
     ) -> None:
-        """Send one of some requests at a time, at once in a number of copies."""
+        """Send one of some requests at a time, at once in a number of copies.
+
+        A caller whose request fails sends it up to ``repeats`` times again.
+        """
         end_s = loop_time() + for_s
         while loop_time() < end_s:
             await asyncio.sleep(every_s * self.rng.uniform(0.8, 1.2))
             body = self.rng.choice(bodies)
             for _ in range(copies):
-                self.start(self._call(parts, body, 0))
+                self.start(self._call(parts, body, repeats))
 
     async def _call(self, parts: tuple[str, ...], body: bytes, repeats: int) -> None:
         for _ in range(1 + repeats):
             job = make_prompt_job(*parts, body=body, now_s=loop_time())
             if await self._serve(job):
                 return
-            await asyncio.sleep(self.rng.uniform(*REPEAT_S))
+            await asyncio.sleep(self.rng.uniform(*self.repeat_s))
 
     async def exchange_periodically(self) -> None:
         """Exchange facts between random gateways, as gossip does."""
@@ -186,7 +218,7 @@
         name = self.rng.choice(list(self.network.gateways))
         parts = tuple(part.identifier for part in job.profile.parts[:-1])
         monitor = self.network.gateways[name].monitor
-        for _ in range(MAX_ATTEMPTS):
+        for _ in range(self.max_attempts):
             try:
                 monitor.check(job)
             except RefusedError:
@@ -197,25 +229,30 @@
                 return False
             engine = self.rng.choice(up)
             record = make_record(
-                f"e{engine.number}",
+                self._identifier(engine),
                 port=engine.number,
                 started_at_ms=engine.started_at_ms if self.store_reachable else 1,
                 draining=self.draining,
             )
             job.attempts.append(record.identifier)
-            self.arrivals.append(Arrival(loop_time(), parts, job.body))
+            since_start_s = loop_time() - self.gateway_starts_s.get(name, -math.inf)
+            self.arrivals.append(Arrival(loop_time(), parts, job.body, since_start_s))
             watch = monitor.watch(job, record)
             if await self._runs(engine, job, watch):
                 self.served.append(Arrival(loop_time(), parts, job.body))
                 return True
         return False
 
+    def _identifier(self, engine: Engine) -> str:
+        run = f"-{engine.started_at_ms}" if self.renamed else ""
+        return f"e{engine.number}{run}"
+
     async def _runs(self, engine: Engine, job: Job, watch: AttemptWatch) -> bool:
         """Run a job at an engine; return whether it answered it."""
         lost = engine.lost
         parts = {part.identifier for part in job.profile.parts}
         deadly = bool(self.deadly & parts) or job.body in self.deadly_bodies
-        first_event_s = self.rng.uniform(*FIRST_EVENT_S)
+        first_event_s = self.rng.uniform(*self.first_event_s)
         sent_s = loop_time()
         if await self._lost_within(lost, first_event_s):
             await self._end_without_event(watch, sent_s)
@@ -224,7 +261,7 @@
             await self._crash(engine, job)
             await self._end_without_event(watch, sent_s)
             return False
-        rest_s = self.crash_delay_s if deadly else self.rng.uniform(*STREAM_S)
+        rest_s = self.crash_delay_s if deadly else self.rng.uniform(*self.stream_s)
         if await self._lost_within(lost, min(rest_s, PROOF_S)):
             await self._end_stream(watch)
             return False
@@ -245,7 +282,7 @@
         self.crash_times_s.append(loop_time())
         if job.body in self.deadly_bodies:
             self.body_crashes_s[job.body].append(loop_time())
-        self.start(engine.crash())
+        self.start(engine.crash(self.restart_s))
         await asyncio.sleep(0)
 
     async def _end_without_event(self, watch: AttemptWatch, sent_s: float) -> None:
@@ -281,9 +318,15 @@
         return sum(part in refusal.parts for refusal in self.refused)
 
     def late_arrivals(self, body: bytes, after_s: float) -> int:
-        """Return how often a request arrived so long after its own third crash."""
+        """Return how often a request arrived so long after its own third crash.
+
+        Those that a gateway sent so soon after its start don't count.
+        """
         crashes_s = self.body_crashes_s[body]
         if len(crashes_s) < 3:
             return 0
         limit_s = crashes_s[2] + after_s
-        return sum(a.body == body and a.at_s > limit_s for a in self.arrivals)
+        return sum(
+            a.body == body and a.at_s > limit_s and a.since_start_s > after_s
+            for a in self.arrivals
+        )
