Log the evidence against a request that is lost again

`request lost again` has the key, the crashes and moments since the last answer, whether it was answered in the minute before, and whether it is suspended now.

--- a/src/shallotroad/gateway/crash_monitor.py
+++ b/src/shallotroad/gateway/crash_monitor.py
@@ -317,9 +317,24 @@
             for job in [*unproven[len(prompts) :], *started][:MAX_LOST_REQUESTS]
         ]
         facts = self._correlation.record_crash(incarnation, requests, lost[0].lost_s)
+        self._log_repeated_losses([*unproven, *started])
         self._exchange.publish(facts)
         self._update_verdicts()
 
+    def _log_repeated_losses(self, jobs: list[Job]) -> None:
+        """Log the evidence against requests that were lost before."""
+        for job in jobs[:MAX_LOGGED_REQUESTS]:
+            key = fingerprint(job)
+            evidence = self._correlation.loss_evidence(key)
+            if evidence.crashes > 1:
+                log_event(
+                    "request lost again",
+                    request=job.request.request_id,
+                    key=key,
+                    suspended=evidence.is_enough,
+                    **evidence._asdict(),
+                )
+
     def check(self, job: Job, *, placed: bool = True) -> None:
         """Raise ``RefusedError`` if a job is suspended and this is not its trial.
 
--- a/src/shallotroad/policy/crash_correlation.py
+++ b/src/shallotroad/policy/crash_correlation.py
@@ -27,6 +27,8 @@
     from collections.abc import Iterable
     from collections.abc import Mapping
 
+    from shallotroad.policy.request_losses import LossEvidence
+
 FACT_TTL_S = 600.0
 MAX_LOST_REQUESTS = 512
 MAX_PROOFS = 1_024
@@ -223,6 +225,10 @@
         keys = fact.keys if isinstance(fact, LostRequest) else (fact.key,)
         return any(len(self._request_losses.losses(key)) > 1 for key in keys)
 
+    def loss_evidence(self, fingerprint: str) -> LossEvidence:
+        """Return how often a whole request was lost since its last answer."""
+        return self._request_losses.evidence(fingerprint)
+
     def first_loss(self, fact: LostRequest) -> list[LostRequest]:
         """Return the first loss of a request whose second loss is the fact."""
         losses = [x for key in fact.keys for x in self._request_losses.losses(key)]
--- a/src/shallotroad/policy/request_losses.py
+++ b/src/shallotroad/policy/request_losses.py
@@ -41,6 +41,25 @@
     last_crash_s: float
 
 
+class LossEvidence(NamedTuple):
+    """How often a request was lost since its last answer.
+
+    ``answered_before`` says whether it was answered less than ``ANSWERED_BEFORE_S``
+    before the first loss.
+    """
+
+    crashes: int
+    moments: int
+    answered_before: bool
+
+    @property
+    def is_enough(self) -> bool:
+        """Whether the request is suspended."""
+        if self.answered_before:
+            return self.moments >= MIN_MOMENTS_IF_ANSWERED
+        return self.crashes >= MIN_CRASHES
+
+
 class RequestLosses:
     """The losses of whole requests by fingerprint, and when each was last answered.
 
@@ -82,6 +101,10 @@
         """Return the losses of a request since its last answer."""
         return self._losses.get(fingerprint, ())
 
+    def evidence(self, fingerprint: str) -> LossEvidence:
+        """Return how often the request was lost since its last answer."""
+        return self._evidence(fingerprint, self._losses.get(fingerprint, []))
+
     def has_loss(self, fingerprint: str, until_s: float) -> bool:
         """Return whether the request was lost since its last answer."""
         return any(x.at_s <= until_s for x in self._losses.get(fingerprint, ()))
@@ -143,16 +166,20 @@
         self, fingerprint: str, losses: list[LostRequest]
     ) -> RequestCrashes | None:
         """Return the crashes among losses in the order of their time, if enough."""
-        if not losses:
+        evidence = self._evidence(fingerprint, losses)
+        if not evidence.is_enough:
             return None
+        return RequestCrashes(fingerprint, evidence.crashes, losses[-1].at_s)
+
+    def _evidence(self, fingerprint: str, losses: list[LostRequest]) -> LossEvidence:
+        """Return the evidence of losses in the order of their time."""
         answered_s = self._answers_s.get(fingerprint, -math.inf)
-        if answered_s >= losses[0].at_s - ANSWERED_BEFORE_S:
-            crashes, needed = _moments(losses), MIN_MOMENTS_IF_ANSWERED
-        else:
-            crashes, needed = _crashes(losses), MIN_CRASHES
-        if crashes < needed:
-            return None
-        return RequestCrashes(fingerprint, crashes, losses[-1].at_s)
+        return LossEvidence(
+            crashes=_crashes(losses),
+            moments=_moments(losses),
+            answered_before=bool(losses)
+            and answered_s >= losses[0].at_s - ANSWERED_BEFORE_S,
+        )
 
 
 def _crashes(losses: list[LostRequest]) -> int:
