List suspended requests in the same order at all gateways

Cause: whole requests were listed in the order in which their losses had arrived. The lists decide nothing by their order for whole requests, so callers saw nothing of it, but dumps of two gateways could not be compared.

Fix: they are sorted by fingerprint. The new test plays the two orders; it failed before and passes now, with the 20 others of the file.

--- a/src/shallotroad/policy/crash_correlation.py
+++ b/src/shallotroad/policy/crash_correlation.py
@@ -434,7 +434,7 @@
                 crashes=request.crashes,
                 last_crash_s=request.last_crash_s,
             )
-            for request in requests
+            for request in sorted(requests)
         ]
         verdicts += [verdict for verdict, _ in found if not verdict.keys & suspended]
         return verdicts
--- a/tests/unit/policy/test_crash_correlation.py
+++ b/tests/unit/policy/test_crash_correlation.py
@@ -233,3 +233,16 @@
     correlation.verdicts(NOW_S + 30)
     correlation.record_answer(["a"], NOW_S + 31)
     orjson.dumps([encode_fact(f, NOW_S) for f in correlation.facts(99, NOW_S + 30)])
+
+
+# Guards against gateways that list the same suspended requests in different orders, as
+# their losses arrived.
+def test_suspended_requests_have_the_same_order_at_all_gateways() -> None:
+    found = []
+    for keys in (["request:1", "request:2"], ["request:2", "request:1"]):
+        correlation = CrashCorrelation(source="g")
+        for key in keys:
+            for number in range(3):
+                crash(correlation, number, NOW_S + number, key)
+        found.append(suspended(correlation))
+    assert found[0] == found[1]
