Bound the unfinished events of all streams together

Cause: each stream may keep 1 MB of an unfinished event and nothing bounded the sum. Class: memory that has a bound for each and none for all. The limit of the process covered bodies only.

Change: that limit (32 MiB beyond 64 KiB of each part) holds for unfinished bodies and events together. The event that would exceed it ends its response as malformed, as one beyond 1 MB does.

--- a/src/shallotroad/gateway/event_stream.py
+++ b/src/shallotroad/gateway/event_stream.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from shallotroad.upstream.exceptions import MalformedResponseError
+from shallotroad.upstream.unfinished_bytes import UnfinishedPart
 
 
 EVENT_SEPARATOR = b"\n\n"
@@ -22,11 +23,12 @@
 
     ``started`` is set by the forwarder just before it sends the response head to
     the caller. ``last_event_id`` is empty before the first event with an identifier; a
-    stream that has started can't be resumed then.
+    stream that has started can't be resumed then. Call ``close`` when the job ends.
     """
 
     def __init__(self) -> None:
         self._partial = b""
+        self._held = UnfinishedPart()
         self.last_event_id = ""
         self.started = False
         self._awaits_continuation = False
@@ -38,9 +40,9 @@
         Raises
         ------
         MalformedResponseError
-            When an event exceeds ``MAX_EVENT_BYTES``, the first event of a resumed
-            stream does not follow the last one, or the head of a response is among the
-            events.
+            When an event exceeds ``MAX_EVENT_BYTES``, the unfinished parts of all
+            responses are too large together, the first event of a resumed stream does
+            not follow the last one, or the head of a response is among the events.
         """
         data = self._partial + data
         separator = self._separator = self._separator or _first_separator(data)
@@ -50,12 +52,14 @@
                 raise MalformedResponseError(
                     f"an event exceeds {MAX_EVENT_BYTES} bytes"
                 )
+            self._held.resize(len(data))
             self._partial = data
             return b""
         complete = data[: end + len(separator)]
         if separator == CRLF_EVENT_SEPARATOR and HEAD_LINE in b"\r\n" + complete:
             raise MalformedResponseError("the head of a response within a stream")
         self._partial = data[end + len(separator) :]
+        self._held.resize(len(self._partial))
         if self._awaits_continuation:
             self._check_continuation(complete)
         self._record_last_event_id(complete)
@@ -105,15 +109,21 @@
 
     def discard_partial(self) -> None:
         """Drop an incomplete event before another endpoint resumes the stream."""
-        self._partial = b""
+        self.close()
         self._awaits_continuation = bool(self.last_event_id)
         self._separator = b""
 
     def flush(self) -> bytes:
         """Return the line ends after the last event of a finished stream."""
-        rest, self._partial = self._partial, b""
+        rest = self._partial
+        self.close()
         return rest
 
+    def close(self) -> None:
+        """Drop an incomplete event, so that it takes no memory."""
+        self._partial = b""
+        self._held.resize(0)
+
 
 def _first_separator(data: bytes) -> bytes:
     """Return the separator after the first event; empty if it is not complete."""
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -219,6 +219,9 @@
             if failure is None:
                 raise
             return failure
+        finally:
+            if splitter is not None:
+                splitter.close()
 
     async def _place(self, job: Job, splitter: EventStreamSplitter | None) -> Placement:
         """Place a job; a refusal is passed on only if no attempt may have run.
--- a/tests/unit/gateway/test_event_stream.py
+++ b/tests/unit/gateway/test_event_stream.py
@@ -8,6 +8,9 @@
 
 from shallotroad.gateway.event_stream import EventStreamSplitter
 from shallotroad.upstream.exceptions import MalformedResponseError
+from shallotroad.upstream.unfinished_bytes import MAX_UNFINISHED_BYTES
+from shallotroad.upstream.unfinished_bytes import UNCOUNTED_BYTES
+from shallotroad.upstream.unfinished_bytes import UNFINISHED_PARTS
 
 
 EVENTS = [b"id: 1\ndata: a\n\n", b"id: 2\ndata: id: 9\n\n", b"data: b\nid: 3\n\n"]
@@ -101,3 +104,33 @@
     assert splitter.feed(b"\n") == b""
     assert not splitter.within_event
     assert splitter.flush() == b"\n"
+
+
+# Guards against events without end of many streams, which each keep within their own
+# limit and together fill the memory of the gateway.
+def test_unfinished_events_of_many_streams_take_bounded_memory() -> None:
+    splitters = [EventStreamSplitter() for _ in range(200)]
+    kept_bytes = dict.fromkeys(splitters, 0)
+    for _ in range(8):
+        for splitter in list(kept_bytes):
+            try:
+                splitter.feed(b"x" * UNCOUNTED_BYTES)
+                kept_bytes[splitter] += UNCOUNTED_BYTES
+            except MalformedResponseError:
+                splitter.close()
+                del kept_bytes[splitter]
+    for splitter in splitters:
+        splitter.close()
+    assert UNFINISHED_PARTS.held_bytes == 0
+    assert (
+        sum(kept_bytes.values())
+        <= MAX_UNFINISHED_BYTES + len(splitters) * UNCOUNTED_BYTES
+    )
+
+
+def test_a_complete_large_event_takes_nothing_of_the_limit() -> None:
+    splitter = EventStreamSplitter()
+    assert splitter.feed(b"data: " + b"x" * 2 * UNCOUNTED_BYTES) == b""
+    assert UNFINISHED_PARTS.held_bytes > 0
+    assert splitter.feed(b"\n\nid: 2")
+    assert UNFINISHED_PARTS.held_bytes == 0
