Bound the unfinished heads of all responses together

No caller was seen to suffer from it.

Change: what a connection has received since the last complete part of a response counts towards the limit of unfinished parts, until the head or the next part of the body is complete or the connection closes.

--- a/src/shallotroad/upstream/connection.py
+++ b/src/shallotroad/upstream/connection.py
@@ -14,6 +14,7 @@
 from shallotroad.upstream.exceptions import ConnectError
 from shallotroad.upstream.exceptions import ConnectionLostError
 from shallotroad.upstream.exceptions import MalformedResponseError
+from shallotroad.upstream.unfinished_bytes import UnfinishedPart
 
 
 if TYPE_CHECKING:
@@ -64,6 +65,7 @@
         self._chunks: deque[bytes] = deque()
         self._buffered_bytes = 0
         self._unparsed_bytes = 0
+        self._unparsed = UnfinishedPart()
         self._complete = False
         self._error: Exception | None = None
         self._waiter: asyncio.Future[None] | None = None
@@ -115,6 +117,13 @@
                     "chunk or of the response"
                 )
             )
+            return
+        try:
+            self._unparsed.resize(
+                0 if self._transport is None else self._unparsed_bytes
+            )
+        except MalformedResponseError as error:
+            self._fail(error)
 
     def eof_received(self) -> None:
         """Complete a response whose body ends where the connection ends."""
@@ -126,6 +135,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the response that is still awaited."""
         self._transport = None
+        self._unparsed.resize(0)
         self._writable.set()
         if self._error is None:
             self._error = ConnectionLostError(f"connection lost: {exc!r}")
@@ -323,6 +333,7 @@
         if self._transport is not None:
             self._transport.abort()
             self._transport = None
+        self._unparsed.resize(0)
 
     def _fail(self, error: Exception) -> None:
         if self._error is None:
--- a/tests/unit/upstream/test_connection.py
+++ b/tests/unit/upstream/test_connection.py
@@ -12,6 +12,9 @@
 
 from shallotroad.upstream.exceptions import MalformedResponseError
 from shallotroad.upstream.pool import ConnectionPool
+from shallotroad.upstream.unfinished_bytes import MAX_UNFINISHED_BYTES
+from shallotroad.upstream.unfinished_bytes import UNCOUNTED_BYTES
+from shallotroad.upstream.unfinished_bytes import UNFINISHED_PARTS
 from tests.connection_builders import feed_all
 from tests.connection_builders import make_connection
 from tests.connection_builders import make_refusal
@@ -121,3 +124,33 @@
     for writer in writers:
         writer.close()
     server.close()
+
+
+# Guards against heads without end of many responses, which each keep within their own
+# limit and together fill the memory of the gateway.
+async def test_unfinished_heads_of_many_responses_take_bounded_memory() -> None:
+    connections = [make_connection() for _ in range(400)]
+    for connection in connections:
+        await connection.send("q1", b"GET / HTTP/1.1\r\n\r\n", b"")
+        connection.data_received(b"HTTP/1.1 200 OK\r\nX-Filler: ")
+    for _ in range(3):
+        for connection in connections:
+            if connection.usable:
+                connection.data_received(b"x" * UNCOUNTED_BYTES)
+    open_connections = [c for c in connections if c.usable]
+    kept_bytes = len(open_connections) * 3 * UNCOUNTED_BYTES
+    for connection in connections:
+        connection.close()
+    assert UNFINISHED_PARTS.held_bytes == 0
+    assert kept_bytes <= MAX_UNFINISHED_BYTES + len(connections) * UNCOUNTED_BYTES
+    assert open_connections
+
+
+async def test_a_head_that_becomes_complete_takes_nothing_of_the_limit() -> None:
+    connection = make_connection()
+    await connection.send("q1", b"GET / HTTP/1.1\r\n\r\n", b"")
+    connection.data_received(b"HTTP/1.1 200 OK\r\nX: " + b"x" * 2 * UNCOUNTED_BYTES)
+    assert UNFINISHED_PARTS.held_bytes > 0
+    connection.data_received(b"\r\nContent-Length: 2\r\n\r\n")
+    assert (await connection.head()).status == 200
+    assert UNFINISHED_PARTS.held_bytes == 0
