Keep a request going whose verdict ends before it takes its turn

What a caller could have seen: an internal error in place of an answer. Found by reading the change again.

Cause: a waiting request looked up the verdicts on it twice, and expected one the second time; a verdict can end in between, by expiry or an answer.

Fix: the turn is taken for the verdict that was found.

--- a/src/shallotroad/gateway/crash_monitor.py
+++ b/src/shallotroad/gateway/crash_monitor.py
@@ -429,22 +429,23 @@
         Returns also when the job can't wait any longer; ``check`` refuses it then.
         """
         waits = False
-        while any(verdict.alone for verdict in self._verdicts_on(job)):
+        while verdicts := [x for x in self._verdicts_on(job) if x.alone]:
             now_s = self._clock()
-            if self._take_turn(job, now_s) or now_s >= job.last_start_s(now_s):
+            if now_s >= job.last_start_s(now_s):
+                return
+            if self._take_turn(job, verdicts[0], now_s):
                 return
             if not waits:
                 waits = True
                 self._metrics.suspensions.inc({"event": "waited"})
             await asyncio.sleep(TURN_POLL_S)
 
-    def _take_turn(self, job: Job, now_s: float) -> bool:
+    def _take_turn(self, job: Job, verdict: Verdict, now_s: float) -> bool:
         """Take this gateway's turn to send a request alone; return whether it has it.
 
         The gateways have turns one after the other from the last crash on.
         """
-        own = fingerprint(job)
-        (verdict,) = [x for x in self._verdicts_on(job) if x.alone]
+        own = verdict.lead
         turn, into_turn_s = divmod(now_s - verdict.last_crash_s, TURN_S)
         names = sorted(
             self._membership.live_names(now_s),
--- a/tests/unit/gateway/test_crash_monitor.py
+++ b/tests/unit/gateway/test_crash_monitor.py
@@ -221,3 +221,18 @@
     with pytest.raises(RefusedError) as caught:
         await send_alone(fixture, job)
     assert caught.value.retry_after_s >= 1.0
+
+
+# Guards against a request that ends with an internal error because the verdict on it
+# ended just then.
+async def test_a_verdict_that_ends_before_the_turn_is_taken_lets_a_request_go(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    fixture = make_crash_fixture()
+    await lose_in_chain(fixture)
+    found = [fixture.correlation.verdicts(loop_time())]
+    monkeypatch.setattr(
+        fixture.correlation, "verdicts", lambda _: found.pop() if found else []
+    )
+    await fixture.monitor.wait_for_turn(make_look_up())
+    assert fixture.monitor.suspended == []
