--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -26,10 +26,10 @@
 
 from shallotroad.gateway.exceptions import RefusedError
 from shallotroad.observability.event_log import log_event
-from shallotroad.policy.endpoint_load import FIRST_EVENT_OVERHEAD_MS
-from shallotroad.policy.endpoint_load import nominal_prefill_ms
 from shallotroad.policy.endpoint_rate import MIN_STATED_PER_S
 from shallotroad.policy.endpoint_rate import STATED_LIMIT_FRACTION
+from shallotroad.policy.engine_model import NOMINAL_MODEL
+from shallotroad.policy.engine_model import Prefill
 from shallotroad.policy.placement import EngineView
 from shallotroad.policy.placement import Placement
 from shallotroad.policy.placement import rank_engines
@@ -101,7 +101,7 @@
     """A queued request and the callbacks that receive its placement or refusal.
 
     ``queued_at_s`` is the monotonic time at which it joined the queue, ``prefill_ms``
-    the expected prefill time of its prompt at an engine of nominal speed.
+    the expected prefill time of its prompt at an engine of slowness 1.
     """
 
     def __init__(
@@ -182,9 +182,12 @@
         self._slowness = sum(load.slowness for load in loads) / max(1, len(loads))
         self._share = self._share_sum / max(1, len(loads))
         self._work_ms = sum(load.backlog_ms(now_s) for load in loads)
+        self._overhead_ms = (
+            loads[0].model if loads else NOMINAL_MODEL
+        ).first_event_overhead_ms
 
     def add(self, prefill_ms: float) -> None:
-        """Add a queued prompt, whose prefill takes this long at nominal speed."""
+        """Add a queued prompt, whose prefill takes this long at slowness 1."""
         self._work_ms += prefill_ms * self._slowness
 
     @property
@@ -199,7 +202,7 @@
         if not self._share:
             return 0.0
         engine_ms = prefill_ms * self._slowness / self._share
-        return (engine_ms + FIRST_EVENT_OVERHEAD_MS) / 1000.0
+        return (engine_ms + self._overhead_ms) / 1000.0
 
 
 class Admission:
@@ -302,7 +305,7 @@
             on_placed=on_placed,
             on_refused=on_refused,
             queued_at_s=now_s,
-            prefill_ms=self._nominal_prefill_ms(request, now_s),
+            prefill_ms=self._model_prefill_ms(request, now_s),
         )
         self._queue.append(queued)
         return queued
@@ -348,13 +351,24 @@
             latest_s = min(latest_s, request.objective_s)
         return wait_s if now_s + wait_s > latest_s else 0.0
 
-    def _nominal_prefill_ms(self, request: PlacementRequest, now_s: float) -> float:
+    def _model_prefill_ms(self, request: PlacementRequest, now_s: float) -> float:
         """Return the prefill time of a prompt where its shared parts are cached."""
         cached = self._recent_parts.recently_used_tokens(
             request.profile.parts[:-1], now_s - self._prefix_reuse_s
         )
         tokens = max(0, request.profile.prompt_tokens - cached)
-        return nominal_prefill_ms(tokens, request.profile.prompt_tokens - tokens)
+        model = self._endpoint_registry.engine_model(request.service)
+        return model.prefill_ms(tokens, request.profile.prompt_tokens - tokens)
+
+    def rescale_prefills(self, service: str, ratio: float) -> None:
+        """Convert the queued prefills of a service whose engine model has changed.
+
+        ``ratio`` is the prefill time of a typical prompt by that with the model before.
+        """
+        for queued in self._queue:
+            if queued.request.service == service:
+                queued.prefill_ms *= ratio
+        self.schedule_dispatch()
 
     def _update_prefill_shares(self, request: PlacementRequest) -> None:
         """Let a gap-tolerant request count in the prefill shares of its engines.
@@ -607,6 +621,7 @@
         For an engine, the parts of the prompt count as cached there from now on.
         """
         load = ranked.view.load
+        alone = not load.awaiting_first_event
         due_s = load.record_dispatch(
             ranked.prefill_ms, now_s, gap_sensitive_tokens=request.gap_sensitive_tokens
         )
@@ -614,7 +629,12 @@
             load.kv_cache_tokens = service.engine.kv_cache_tokens
             load.record_parts(request.profile.parts)
             self._recent_parts.record(request.profile.parts, now_s)
-        return ranked.placement()._replace(due_s=due_s)
+        prefill = None
+        if service.engine is not None and request.streams:
+            cached = min(ranked.cached_tokens, request.profile.prompt_tokens)
+            uncached = request.profile.prompt_tokens - cached
+            prefill = Prefill(uncached, cached, now_s, alone)
+        return ranked.placement()._replace(due_s=due_s, prefill=prefill)
 
     def _take_permits(self, service: Service, load: EndpointLoad, now_s: float) -> bool:
         """Return whether the limits of an endpoint allow a request now."""
--- a/src/shallotroad/gateway/coordination/coordinator.py
+++ b/src/shallotroad/gateway/coordination/coordinator.py
@@ -22,7 +22,7 @@
 from shallotroad.gateway.coordination.messages import Stated
 from shallotroad.gateway.exceptions import RefusedError
 from shallotroad.observability.event_log import log_event
-from shallotroad.policy.endpoint_load import FIRST_EVENT_OVERHEAD_MS
+from shallotroad.policy.engine_model import NOMINAL_MODEL
 
 
 if TYPE_CHECKING:
@@ -39,7 +39,9 @@
     from shallotroad.gateway.coordination.messages import Started
     from shallotroad.gateway.coordination.messages import Submit
     from shallotroad.gateway.endpoint_registry import EndpointRegistry
+    from shallotroad.gateway.engine_models import EngineModels
     from shallotroad.policy.endpoint_load import EndpointLoad
+    from shallotroad.policy.engine_model import Prefill
     from shallotroad.policy.placement import Placement
 
     SendReply = Callable[[Message], None]
@@ -56,7 +58,7 @@
 
     ``due_s`` is when its first event is expected, monotonic, and ``expected_ms`` the
     expected backlog and prefill before it. ``grant`` is None when the request is known
-    only from a report, not placed here.
+    only from a report, not placed here. ``prefill`` is that of its placement.
     """
 
     load: EndpointLoad
@@ -64,6 +66,7 @@
     expected_ms: float
     started: bool
     grant: Grant | None
+    prefill: Prefill | None = None
 
 
 class GatewayWork:
@@ -100,6 +103,7 @@
         clock: Callable[[], float],
         draining: Callable[[], bool],
         survey: CacheSurvey,
+        engine_models: EngineModels,
         report_interval_s: Callable[[], float],
     ) -> None:
         self._report_interval_s = report_interval_s
@@ -108,6 +112,7 @@
         self._clock = clock
         self._draining = draining
         self._survey = survey
+        self._engine_models = engine_models
         survey.on_done = self._submit_after_survey
         self._gateways: dict[str, GatewayWork] = {}
         self._awaiting_survey: dict[tuple[Sender, int], tuple[Submit, SendReply]] = {}
@@ -212,10 +217,16 @@
             placement.cached_tokens,
             placement.reserved,
             round(placement.slowness, 2),
+            placement.model,
         )
         expected_ms = placement.backlog_ms + placement.prefill_ms
         gateway.in_flight[number] = RemoteRequest(
-            placement.load, placement.due_s, expected_ms, False, grant
+            placement.load,
+            placement.due_s,
+            expected_ms,
+            False,
+            grant,
+            placement.prefill,
         )
         if placement.load.limit_per_s is not None and placement.load.statement:
             reply(Stated(grant.endpoint, placement.load.statement))
@@ -231,17 +242,25 @@
     def record_first_event(self, message: Started) -> None:
         """Record the first event of a request; unknown and repeated ones are ignored.
 
-        For a request that was placed here, the engine's slowness is updated too.
+        For a request that was placed here, the engine's slowness is updated too, and
+        the model of the service if it was streamed.
         """
         gateway = self._update_gateway(message.sender)
         request = gateway.in_flight.get(message.number) if gateway is not None else None
         if gateway is None or request is None or request.started:
             return
         request.load.record_first_event(request.due_s, self._clock())
-        if request.grant is not None:
-            observed_ms = message.first_event_ms - FIRST_EVENT_OVERHEAD_MS
+        grant = request.grant
+        if grant is not None and (message.streamed or grant.model == NOMINAL_MODEL):
             request.load.update_slowness(
-                request.expected_ms, observed_ms, request.grant.slowness
+                request.expected_ms,
+                message.first_event_ms - grant.model.first_event_overhead_ms,
+                grant.slowness,
+                grant.model,
+            )
+        if message.streamed and request.prefill is not None:
+            self._engine_models.record_first_event(
+                request.load, request.prefill, message.first_event_ms
             )
         gateway.in_flight[message.number] = request._replace(started=True)
         self._admission.schedule_dispatch()
@@ -307,6 +326,7 @@
             current = current._replace(started=True)
         if request.lag:
             current.load.record_lag(request.lag)
+        self._engine_models.record_step(current.load, request.step_ms)
         gateway.in_flight[request.number] = current
 
     def _remove_request(self, gateway: GatewayWork, number: int) -> None:
--- a/src/shallotroad/gateway/coordination/messages.py
+++ b/src/shallotroad/gateway/coordination/messages.py
@@ -21,6 +21,9 @@
 from shallotroad.platform.headers import PromptPart
 from shallotroad.policy.endpoint_statement import EndpointStatement
 from shallotroad.policy.endpoint_statement import is_valid_limit
+from shallotroad.policy.engine_model import NOMINAL_MODEL
+from shallotroad.policy.engine_model import EngineModel
+from shallotroad.policy.engine_model import is_valid_model
 from shallotroad.policy.placement import RequestProfile
 from shallotroad.policy.placement_request import PlacementRequest
 
@@ -50,7 +53,7 @@
     """The coordinator's choice of an endpoint, with the figures behind the choice.
 
     ``backlog_ms`` and ``prefill_ms`` contain ``slowness``, the endpoint's factor over
-    the nominal prefill time.
+    the prefill time of ``model``. A nominal model is not sent.
     """
 
     number: int
@@ -61,6 +64,7 @@
     cached_tokens: int
     reserved: bool
     slowness: float = 1.0
+    model: EngineModel = NOMINAL_MODEL
 
 
 class Queued(NamedTuple):
@@ -97,11 +101,16 @@
 
 
 class Started(NamedTuple):
-    """The first event of a granted request, and the time from its sending to then."""
+    """The first event of a granted request, and the time from its sending to then.
+
+    ``streamed`` is set if it was an event of a stream and no complete response, whose
+    time would contain the decode.
+    """
 
     sender: Sender
     number: int
     first_event_ms: float
+    streamed: bool = False
 
 
 class Ended(NamedTuple):
@@ -123,7 +132,8 @@
     ``gap_sensitive_tokens`` is the expected length of a gap-sensitive response, 0 for
     any other. ``started`` is set once the first event has arrived. ``lag`` tells
     how far a gap-tolerant stream lags behind the pace that it needs (``StreamPace``),
-    0 if that is not known.
+    0 if that is not known. ``step_ms`` is the shortest decode step of the stream since
+    the last report (``StepTimer``), 0 if there was none.
     """
 
     number: int
@@ -132,6 +142,7 @@
     gap_sensitive_tokens: int
     started: bool
     lag: float = 0.0
+    step_ms: float = 0.0
 
 
 class Report(NamedTuple):
@@ -280,6 +291,7 @@
     number, endpoint, prefill_ms, gap_sensitive_tokens, started = fields[:5]
     # Gateways of earlier versions do not send the lag.
     lag = fields[5] if len(fields) > 5 else 0.0
+    step_ms = fields[6] if len(fields) > 6 else 0.0
     return InFlightRequest(
         int(number),
         str(endpoint),
@@ -287,9 +299,24 @@
         int(gap_sensitive_tokens),
         bool(started),
         max(0.0, _finite(lag)),
+        max(0.0, _finite(step_ms)),
     )
 
 
+def _decode_model(fields: list[Any]) -> EngineModel:
+    """Return the engine model of a message.
+
+    Raises
+    ------
+    TypeError, ValueError
+        When figures are missing or out of bounds.
+    """
+    model = EngineModel(*(_finite(figure) for figure in fields[:4]))
+    if not is_valid_model(model):
+        raise ValueError(f"engine model {fields!r} is out of bounds")
+    return model
+
+
 def _decode_reply(
     kind: str, fields: list[Any]
 ) -> Grant | Queued | Decline | Refuse | None:
@@ -298,6 +325,7 @@
         number, endpoint, cost_ms, backlog_ms, prefill_ms, cached, reserved = fields[:7]
         # Coordinators of earlier versions do not send the slowness.
         slowness = fields[7] if len(fields) > 7 else 1.0
+        model = _decode_model(fields[8]) if len(fields) > 8 else NOMINAL_MODEL
         return Grant(
             int(number),
             str(endpoint),
@@ -307,6 +335,7 @@
             int(cached),
             bool(reserved),
             _finite(slowness),
+            model,
         )
     if kind == "hold":
         (number,) = fields
@@ -351,8 +380,10 @@
         number, request = fields[1:]
         return Submit(sender, int(number), _decode_request(request, now_s))
     if kind == "start":
-        number, first_event_ms = fields[1:]
-        return Started(sender, int(number), _finite(first_event_ms))
+        number, first_event_ms = fields[1:3]
+        # Gateways of earlier versions do not send whether it was streamed.
+        streamed = bool(fields[3]) if len(fields) > 3 else False
+        return Started(sender, int(number), _finite(first_event_ms), streamed)
     if kind == "end":
         number, success, failure_weight = fields[1:]
         return Ended(sender, int(number), bool(success), _finite(failure_weight))
@@ -383,12 +414,14 @@
             ["said", message.endpoint, started_at_ms, age_ms, *statements]
         )
     if isinstance(message, Started):
-        fields = [message.number, round(message.first_event_ms)]
+        fields = [message.number, round(message.first_event_ms), message.streamed]
         return orjson.dumps(["start", list(message.sender), *fields])
     if isinstance(message, Ended):
         fields = [message.number, message.success, message.failure_weight]
         return orjson.dumps(["end", list(message.sender), *fields])
     kind = REPLY_KINDS[type(message)]
+    if isinstance(message, Grant) and message.model == NOMINAL_MODEL:
+        return orjson.dumps([kind, *message[:-1]])
     return orjson.dumps([kind, *message])
 
 
--- a/src/shallotroad/gateway/coordination/placement_client.py
+++ b/src/shallotroad/gateway/coordination/placement_client.py
@@ -32,6 +32,8 @@
 from shallotroad.policy.cells import Cell
 from shallotroad.policy.cells import rank_cells
 from shallotroad.policy.decode_pace import StreamPace
+from shallotroad.policy.engine_model import NOMINAL_MODEL
+from shallotroad.policy.engine_model import StepTimer
 from shallotroad.policy.placement import Placement
 
 
@@ -42,6 +44,7 @@
     from shallotroad.gateway.cache_survey import CacheSurvey
     from shallotroad.gateway.coordination.messages import Message
     from shallotroad.gateway.endpoint_registry import EndpointRegistry
+    from shallotroad.gateway.engine_models import EngineModels
     from shallotroad.gateway.job import Job
     from shallotroad.gateway.membership import Membership
     from shallotroad.policy.endpoint_load import EndpointLoad
@@ -95,13 +98,15 @@
     """A request in flight to an engine.
 
     ``coordinator`` granted the endpoint; it is empty if this gateway chose it.
-    ``pace`` has the events of its stream; None unless that is gap-tolerant.
+    ``pace`` has the events of its stream; None unless that is gap-tolerant. ``steps``
+    has those of any stream of an engine.
     """
 
     request: InFlightRequest
     coordinator: str
     load: EndpointLoad
     pace: StreamPace | None
+    steps: StepTimer | None
 
 
 class PlacementClient:
@@ -117,6 +122,7 @@
         endpoint_registry: EndpointRegistry,
         membership: Membership,
         survey: CacheSurvey,
+        engine_models: EngineModels,
         send: Send,
         clock: Callable[[], float],
     ) -> None:
@@ -124,6 +130,7 @@
         self._endpoint_registry = endpoint_registry
         self._membership = membership
         self._survey = survey
+        self._engine_models = engine_models
         self._send = send
         self._clock = clock
         self._sender = Sender(membership.name, membership.incarnation)
@@ -380,6 +387,11 @@
             coordinator=coordinator,
             load=placement.load,
             pace=pace,
+            steps=(
+                StepTimer(tokens_per_event=engine.tokens_per_event)
+                if engine is not None and job.streams
+                else None
+            ),
         )
         return placement._replace(number=number)
 
@@ -447,6 +459,8 @@
             gap_sensitive_tokens=placement_request.gap_sensitive_tokens,
         )
         load.record_parts(placement_request.profile.parts)
+        if grant.model == load.model != NOMINAL_MODEL:
+            load.slowness = grant.slowness
         placement = Placement(
             load=load,
             cost_ms=grant.cost_ms,
@@ -456,6 +470,7 @@
             reserved=grant.reserved,
             slowness=grant.slowness,
             due_s=due_s,
+            model=grant.model,
         )
         return self._track(job, placement, grant.number, coordinator)
 
@@ -554,7 +569,9 @@
 
     # Reports of requests in flight
 
-    def record_first_event(self, placement: Placement, first_event_ms: float) -> None:
+    def record_first_event(
+        self, placement: Placement, first_event_ms: float, *, streamed: bool = False
+    ) -> None:
         """Mark a request as started in the reports, and notify its coordinator, if any.
 
         The load of the placement is not changed; the caller does that with
@@ -564,6 +581,8 @@
         ----------
         first_event_ms : float
             Time from the sending of the request to the event.
+        streamed : bool
+            Whether it was an event of a stream, and no complete response.
         """
         self._admission.schedule_dispatch()
         placed = self._in_flight.get(placement.number)
@@ -572,14 +591,22 @@
         request = placed.request._replace(started=True)
         self._in_flight[placement.number] = placed._replace(request=request)
         if placed.coordinator:
-            message = Started(self._sender, placement.number, first_event_ms)
+            message = Started(self._sender, placement.number, first_event_ms, streamed)
             self._send(placed.coordinator, message)
+        elif streamed and placement.prefill is not None:
+            self._engine_models.record_first_event(
+                placement.load, placement.prefill, first_event_ms
+            )
 
     def record_events(self, placement: Placement, count: int) -> None:
         """Record events of a stream that have arrived together now."""
         placed = self._in_flight.get(placement.number)
-        if placed is not None and placed.pace is not None:
-            placed.pace.record_events(count, self._clock())
+        if placed is None or placed.steps is None:
+            return
+        now_s = self._clock()
+        placed.steps.record_events(count, now_s)
+        if placed.pace is not None:
+            placed.pace.record_events(count, now_s)
 
     def record_end(
         self, placement: Placement, *, success: bool, failure_weight: float = 0.0
@@ -626,18 +653,24 @@
             self._send_report(name)
 
     def _take_lags(self) -> None:
-        """Put the lags of streams since the last report into their requests.
+        """Put the lags and decode steps since the last report into the requests.
 
         Those of the requests that were placed here count in this gateway's loads.
         """
         for number, placed in self._in_flight.items():
-            if placed.pace is None:
+            if placed.steps is None:
                 continue
-            lag = round(placed.pace.take_lag() or 0.0, 2)
-            request = placed.request._replace(lag=lag)
+            lag = 0.0
+            if placed.pace is not None:
+                lag = round(placed.pace.take_lag() or 0.0, 2)
+            step_ms = round(placed.steps.take(), 2)
+            request = placed.request._replace(lag=lag, step_ms=step_ms)
             self._in_flight[number] = placed._replace(request=request)
-            if lag and not placed.coordinator:
+            if placed.coordinator:
+                continue
+            if lag:
                 placed.load.record_lag(lag)
+            self._engine_models.record_step(placed.load, step_ms)
 
     def _send_report(self, name: str) -> None:
         """Send a coordinator the open requests in the cells that it counts."""
--- a/src/shallotroad/gateway/endpoint_registry.py
+++ b/src/shallotroad/gateway/endpoint_registry.py
@@ -9,6 +9,7 @@
 from shallotroad.policy.cells import CellMap
 from shallotroad.policy.cells import divide
 from shallotroad.policy.endpoint_load import EndpointLoad
+from shallotroad.policy.engine_model import NOMINAL_MODEL
 from shallotroad.policy.placement import reserved_engines
 from shallotroad.upstream.pool import ConnectionPool
 
@@ -17,6 +18,7 @@
     from collections.abc import Callable
 
     from shallotroad.catalog.endpoint import EndpointRecord
+    from shallotroad.policy.engine_model import EngineModel
     from shallotroad.policy.placement_request import PlacementRequest
 
 
@@ -47,6 +49,7 @@
         self._regions = regions
         self.loads: dict[str, EndpointLoad] = {}
         self._pools: dict[str, ConnectionPool] = {}
+        self._engine_models: dict[str, EngineModel] = {}
         self._cell_maps: dict[str, CellMap] = {}
         self._cell_loads: dict[str, dict[str, list[EndpointLoad]]] = {}
         self.on_changed: Callable[[], None] = lambda: None
@@ -61,7 +64,9 @@
         now_s = self._clock()
         load = self.loads.get(record.identifier)
         if load is None:
-            load = EndpointLoad(record=record, now_s=now_s)
+            load = EndpointLoad(
+                record=record, now_s=now_s, model=self.engine_model(record.service)
+            )
             self.loads[record.identifier] = load
             self._forget_cells(record.service)
             self._open_pool(record)
@@ -82,6 +87,7 @@
             self._forget_cells(load.record.service)
             self._forget_cells(record.service)
         load.record = record
+        load.use_model(self.engine_model(record.service), now_s)
         if record.cold_remaining_ms > 0:
             load.cold_until_s = now_s + record.cold_remaining_ms / 1000
         self.on_changed()
@@ -97,6 +103,27 @@
         log_event("endpoint gone", endpoint=identifier)
         self.on_changed()
 
+    def engine_model(self, service: str) -> EngineModel:
+        """Return the model in force of the engines of a service."""
+        return self._engine_models.get(service, NOMINAL_MODEL)
+
+    def use_engine_model(
+        self, service: str, model: EngineModel, factors: dict[str, float]
+    ) -> None:
+        """Replace the model in force of the engines of a service.
+
+        ``factors`` has the slowness of endpoints for which it is known relative to the
+        new model; the others keep their speed.
+        """
+        self._engine_models[service] = model
+        now_s = self._clock()
+        for load in self._loads_of(Cell(service)):
+            load.use_model(model, now_s, factors.get(load.record.identifier))
+
+    def service_endpoints(self, service: str) -> set[str]:
+        """Return the identifiers of the endpoints of a service."""
+        return {load.record.identifier for load in self._loads_of(Cell(service))}
+
     def _open_pool(self, record: EndpointRecord) -> None:
         previous = self._pools.get(record.identifier)
         if previous is not None:
--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -21,6 +21,7 @@
 from shallotroad.gateway.crash_monitor import CrashMonitor
 from shallotroad.gateway.endpoint_registry import EndpointRegistry
 from shallotroad.gateway.endpoint_statements import EndpointStatements
+from shallotroad.gateway.engine_models import EngineModels
 from shallotroad.gateway.event_stream import EventStreamSplitter
 from shallotroad.gateway.exports import make_status_handler
 from shallotroad.gateway.forwarder import Forwarder
@@ -101,6 +102,8 @@
         Sends jobs to endpoints and retries them.
     frontend : HttpFrontend
         Receives callers' requests and sends the responses.
+    engine_models : EngineModels
+        Models of the engines of all services.
     metrics : GatewayMetrics
         Counters, gauges and histograms.
     clock : callable
@@ -123,6 +126,7 @@
     crash_monitor: CrashMonitor
     forwarder: Forwarder
     frontend: HttpFrontend
+    engine_models: EngineModels
     metrics: GatewayMetrics
     clock: Callable[[], float]
 
@@ -168,11 +172,18 @@
         clock=clock,
     )
     survey.on_listed = admission.record_surveyed_parts
+    engine_models = EngineModels(
+        endpoint_registry=endpoint_registry,
+        has_engine=lambda service: catalog.service(service).engine is not None,
+        clock=clock,
+    )
+    engine_models.on_changed = admission.rescale_prefills
     placement_client = PlacementClient(
         admission=admission,
         endpoint_registry=endpoint_registry,
         membership=membership,
         survey=survey,
+        engine_models=engine_models,
         send=coordination_protocol.send,
         clock=clock,
     )
@@ -182,6 +193,7 @@
         clock=clock,
         draining=lambda: frontend.draining,
         survey=survey,
+        engine_models=engine_models,
         report_interval_s=placement_client.report_interval_s,
     )
     coordination_protocol.set_handlers(
@@ -231,6 +243,7 @@
         catalog=catalog,
         forwarder=forwarder,
         data_centre=settings.data_centre,
+        engine_model=engine_models.model,
         metrics=metrics,
         clock=clock,
     )
@@ -247,6 +260,7 @@
         membership=membership,
         store_watcher=store_watcher,
         crash_exchange=crash_exchange,
+        engine_models=engine_models,
         clock=clock,
         rng=rng,
     )
@@ -267,6 +281,7 @@
         crash_monitor,
         forwarder,
         frontend,
+        engine_models,
         metrics,
         clock,
     )
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -20,7 +20,7 @@
 from shallotroad.gateway.exceptions import RefusedError
 from shallotroad.observability.event_log import log_event
 from shallotroad.platform.headers import encode_request_head
-from shallotroad.policy.endpoint_load import FIRST_EVENT_OVERHEAD_MS
+from shallotroad.policy.engine_model import NOMINAL_MODEL
 from shallotroad.policy.windowed_retry_budget import WindowedRetryBudget
 from shallotroad.upstream.exceptions import ConnectError
 from shallotroad.upstream.exceptions import ConnectionLostError
@@ -643,7 +643,7 @@
                 continue
             progress.record_events(splitter.count_events(events))
             if not progress.started_s:
-                progress.record_first_event()
+                progress.record_first_event(streamed=True)
                 remaining_s = job.end_s + RESPONSE_GRACE_S - self._clock()
                 timeout.reschedule(asyncio.get_running_loop().time() + remaining_s)
                 if not splitter.started:
@@ -708,21 +708,27 @@
         self.ended = False
         self.success = False
         self.failure = 0.0
+        self._streamed = False
 
     @property
     def _first_event_ms(self) -> float:
         """Time from sending to the first event; valid once ``started_s`` is set."""
         return (self.started_s - self.sent_s) * 1000
 
-    def record_first_event(self) -> None:
-        """Record that the response has started; repeated calls have no effect."""
+    def record_first_event(self, *, streamed: bool = False) -> None:
+        """Record that the response has started; repeated calls have no effect.
+
+        ``streamed`` is whether it is a stream; the time of another response contains
+        the decode.
+        """
         if not self.started_s:
             self.started_s = self._clock()
+            self._streamed = streamed
             self._placement.load.record_first_event(
                 self._placement.due_s, self.started_s
             )
             self._placement_client.record_first_event(
-                self._placement, self._first_event_ms
+                self._placement, self._first_event_ms, streamed=streamed
             )
 
     def record_events(self, count: int) -> None:
@@ -736,7 +742,7 @@
 
         With ``update_slowness``, a first event that arrived also updates
         ``EndpointLoad.slowness``, the factor by which the engine is slower than the
-        nominal prefill speed.
+        model of its service. With a learned model, only that of a stream does.
         """
         placement, load = self._placement, self._placement.load
         now_s = self._clock()
@@ -744,12 +750,15 @@
             load.record_success(now_s)
         elif self.failure:
             load.record_failure(now_s, self.failure)
-        if self.started_s and update_slowness:
+        model = placement.model
+        shows_speed = self._streamed or model == NOMINAL_MODEL
+        if self.started_s and update_slowness and shows_speed:
             expected_ms = placement.backlog_ms + placement.prefill_ms
             load.update_slowness(
                 expected_ms,
-                self._first_event_ms - FIRST_EVENT_OVERHEAD_MS,
+                self._first_event_ms - model.first_event_overhead_ms,
                 placement.slowness,
+                model,
             )
         load.record_end(placement.due_s, started=bool(self.started_s), now_s=now_s)
         self._placement_client.record_end(
--- a/src/shallotroad/gateway/gossip.py
+++ b/src/shallotroad/gateway/gossip.py
@@ -29,6 +29,7 @@
     from random import Random
 
     from shallotroad.gateway.crash_exchange import CrashExchange
+    from shallotroad.gateway.engine_models import EngineModels
     from shallotroad.gateway.membership import Membership
     from shallotroad.gateway.store_watcher import StoreWatcher
     from shallotroad.http_server.connection import ServerRequest
@@ -49,8 +50,9 @@
     """Return a gateway's state as compressed JSON.
 
     Its keys are ``members``, the rows of ``Membership.snapshot``, ``revision``, the
-    newest store revision that the gateway knows, and ``crashes``, the rows of
-    ``CrashExchange.rows``, which gateways of earlier versions do not send.
+    newest store revision that the gateway knows, ``crashes``, the rows of
+    ``CrashExchange.rows``, and ``engines``, those of ``EngineModels.rows`` unless there
+    are none. Gateways of earlier versions do not send the last two.
     """
     return zlib.compress(orjson.dumps(state), COMPRESSION_LEVEL)
 
@@ -95,23 +97,26 @@
         membership: Membership,
         store_watcher: StoreWatcher,
         crash_exchange: CrashExchange,
+        engine_models: EngineModels,
         clock: Callable[[], float],
         rng: Random,
     ) -> None:
         self._membership = membership
         self._store_watcher = store_watcher
         self._crash_exchange = crash_exchange
+        self._engine_models = engine_models
         self._clock = clock
         self._rng = rng
 
     def _encode_own_state(self) -> bytes:
-        return encode_state(
-            {
-                "members": self._membership.snapshot(),
-                "revision": self._store_watcher.known_revision,
-                "crashes": self._crash_exchange.rows(),
-            }
-        )
+        state = {
+            "members": self._membership.snapshot(),
+            "revision": self._store_watcher.known_revision,
+            "crashes": self._crash_exchange.rows(),
+        }
+        if engines := self._engine_models.rows():
+            state["engines"] = engines
+        return encode_state(state)
 
     def _merge_state(self, body: bytes) -> dict[str, Any]:
         """Merge the members and the revision of a peer; return its decoded state.
@@ -129,6 +134,7 @@
             log_event("peer found", peer=name)
         self._store_watcher.observe_peer_revision(state["revision"])
         self._crash_exchange.merge(state.get("crashes"))
+        self._engine_models.merge(state.get("engines"))
         return state
 
     async def handle(self, request: ServerRequest) -> Response:
--- a/src/shallotroad/gateway/http_frontend.py
+++ b/src/shallotroad/gateway/http_frontend.py
@@ -39,6 +39,7 @@
     from shallotroad.http_server.message import HeaderPairs
     from shallotroad.platform.headers import CallerRequest
     from shallotroad.platform.headers import ResponseHead
+    from shallotroad.policy.engine_model import EngineModel
 
 UNCONFIGURED_RETRY_AFTER_S = 0.5
 # The store responds to a starting process well within this time.
@@ -114,9 +115,11 @@
         catalog: Catalog,
         forwarder: Forwarder,
         data_centre: str,
+        engine_model: Callable[[str], EngineModel],
         metrics: GatewayMetrics,
         clock: Callable[[], float],
     ) -> None:
+        self._engine_model = engine_model
         self._catalog = catalog
         self._forwarder = forwarder
         self._data_centre = data_centre
@@ -331,6 +334,7 @@
             version=configuration.version,
             gap_tolerant=configuration.is_gap_tolerant(route, service.name),
             min_event_gap_limit_ms=configuration.min_event_gap_limit_ms(service.name),
+            engine_model=self._engine_model(service.name),
         )
         if not route.repeatable and job.expected_end_s() > cut_off_s:
             raise RefusedError("too late before the stop", retry_after_s=0.0)
--- a/src/shallotroad/gateway/job.py
+++ b/src/shallotroad/gateway/job.py
@@ -9,6 +9,7 @@
 from shallotroad.policy.endpoint_load import decode_share
 from shallotroad.policy.endpoint_load import expected_answer_s
 from shallotroad.policy.endpoint_load import prefill_share
+from shallotroad.policy.engine_model import NOMINAL_MODEL
 from shallotroad.policy.placement import RequestProfile
 from shallotroad.policy.placement import decode_stall_threshold_tokens
 from shallotroad.policy.placement_request import PlacementRequest
@@ -19,6 +20,7 @@
     from shallotroad.catalog.configuration import Service
     from shallotroad.catalog.configuration import Team
     from shallotroad.platform.headers import CallerRequest
+    from shallotroad.policy.engine_model import EngineModel
 
 
 # Share of the remaining time that a job may wait for an endpoint; the rest is for the
@@ -75,6 +77,8 @@
         or the service has no such limit.
     min_event_gap_limit_ms : float
         That lowest event gap limit; 0 if no stream of the service has one.
+    engine_model : EngineModel
+        Model of the service's engines that is in force at its arrival.
     """
 
     def __init__(
@@ -90,6 +94,7 @@
         version: int,
         gap_tolerant: bool,
         min_event_gap_limit_ms: float = 0.0,
+        engine_model: EngineModel = NOMINAL_MODEL,
     ) -> None:
         self.request = request
         self.body = body
@@ -98,6 +103,7 @@
         self.team = team
         self.version = version
         self.gap_tolerant = gap_tolerant
+        self.engine_model = engine_model
         self.arrival_s = arrival_s
         route_timeout_ms = route.timeout_ms
         self.timeout_s = arrival_s + route_timeout_ms / 1000
@@ -133,7 +139,7 @@
         if engine is None or not min_event_gap_limit_ms:
             return False
         threshold_tokens = decode_stall_threshold_tokens(
-            min_event_gap_limit_ms, engine.tokens_per_event
+            min_event_gap_limit_ms, engine.tokens_per_event, self.engine_model
         )
         return self.request.prompt_tokens > threshold_tokens
 
@@ -168,8 +174,11 @@
         """
         if self.service.engine is None:
             return self.end_s
-        needed = decode_share(self.expected_tokens, self.end_s - self.objective_s)
-        answer_s = expected_answer_s(self.expected_tokens, prefill_share(needed))
+        model = self.engine_model
+        needed = decode_share(
+            self.expected_tokens, self.end_s - self.objective_s, model
+        )
+        answer_s = expected_answer_s(self.expected_tokens, prefill_share(needed), model)
         min_wait_s = MIN_WAIT_OBJECTIVE_SHARE * (self.objective_s - self.arrival_s)
         return max(self.arrival_s + min_wait_s, self.end_s - answer_s)
 
@@ -242,7 +251,9 @@
         """
         if self.service.engine is None or not self.request.states_output:
             return self.end_s
-        answer_s = expected_answer_s(self.expected_tokens, MIN_PREFILL_SHARE)
+        answer_s = expected_answer_s(
+            self.expected_tokens, MIN_PREFILL_SHARE, self.engine_model
+        )
         expected_s = self.objective_s + EXPECTED_END_MARGIN * answer_s
         return min(self.end_s, expected_s)
 
--- a/src/shallotroad/gateway/metrics.py
+++ b/src/shallotroad/gateway/metrics.py
@@ -144,6 +144,9 @@
             "connections_opened": components.endpoint_registry.opened_connections(),
             "live_entries": len(components.membership.live_names(components.clock())),
             "log_lines_dropped": LOG_BUFFER.dropped_total,
+            "engine_models_learned": components.engine_models.learned_count(),
+            "engine_model_changes": components.engine_models.changes,
+            "engine_model_rows_dropped": components.engine_models.dropped_rows,
         }
         for name, value in values.items():
             components.metrics.state.set({"name": name}, value)
--- a/src/shallotroad/policy/endpoint_load.py
+++ b/src/shallotroad/policy/endpoint_load.py
@@ -29,6 +29,8 @@
 
 from shallotroad.policy.decode_pace import DecodeFactor
 from shallotroad.policy.endpoint_statement import MAX_LEAVING_S
+from shallotroad.policy.engine_model import NOMINAL_MODEL
+from shallotroad.policy.engine_model import relative_prefill
 
 
 if TYPE_CHECKING:
@@ -38,17 +40,8 @@
     from shallotroad.catalog.endpoint import EndpointRecord
     from shallotroad.platform.headers import PromptPart
     from shallotroad.policy.endpoint_statement import EndpointStatement
+    from shallotroad.policy.engine_model import EngineModel
 
-# Nominal prefill speed, typical of eight-way parallel model engines. The
-# observed slowness of an endpoint corrects it.
-PREFILL_TOKENS_PER_MS = 50.0
-# Nominal time to the first event of an idle engine apart from the prefill: set-up,
-# one decode step and the network.
-FIRST_EVENT_OVERHEAD_MS = 100.0
-# Nominal speed of attention, whose time is added to that of PREFILL_TOKENS_PER_MS. Each
-# uncached token is paired with all tokens before it, cached or not: n uncached tokens
-# after c cached ones make n * (c + n / 2) pairs.
-ATTENTION_PAIRS_PER_MS = 2_000_000.0
 # Weight of a new sample in the moving average of the slowness.
 SLOWNESS_SAMPLE_WEIGHT = 0.15
 # Limits of a sample of the slowness.
@@ -58,9 +51,7 @@
 # rest decodes the running streams, whose answers must be whole in time.
 MAX_PREFILL_SHARE = 0.9
 MIN_PREFILL_SHARE = 0.4
-# Nominal duration of a step of an engine with about 30 streams and no prefill.
-DECODE_STEP_MS = 10.0
-# Largest factor on the planned decode time of an engine of nominal prefill speed.
+# Largest factor on the planned decode time of an engine of the model's prefill speed.
 MAX_DECODE_FACTOR_AT_NOMINAL_SPEED = 2.0
 # Fraction of an engine's KV cache that may hold prompt parts. At 1.0, nothing is set
 # aside for running requests.
@@ -68,17 +59,19 @@
 FAILURE_HALF_LIFE_S = 3.0
 # Half-life of the recent work that decides how many engines are reserved.
 WORK_HALF_LIFE_S = 4.0
-# Engine time that one token of an additional stream adds to a decode step.
-GAP_SENSITIVE_MS_PER_TOKEN = 0.15
+# Engine time that one token of an additional stream adds to a decode step, as a share
+# of the step.
+GAP_SENSITIVE_STEPS_PER_TOKEN = 0.015
 MAX_PARTS = 4096
 
 
-def decode_share(tokens: int, time_s: float) -> float:
+def decode_share(
+    tokens: int, time_s: float, model: EngineModel = NOMINAL_MODEL
+) -> float:
     """Return the share of an engine's time that answers need to become whole in time.
 
-    While an engine of nominal speed decodes for a share ``d`` of its time, each of its
-    streams gets ``d / DECODE_STEP_MS`` tokens in a millisecond. The result may exceed
-    1.
+    While an engine decodes for a share ``d`` of its time, each of its streams gets
+    ``d / decode_step_ms`` tokens in a millisecond. The result may exceed 1.
 
     Parameters
     ----------
@@ -86,8 +79,10 @@
         Expected tokens of an answer.
     time_s : float
         Time from its first event until its caller's deadline.
+    model : EngineModel
+        Model of the service's engines.
     """
-    decode_s = tokens * DECODE_STEP_MS / 1000.0
+    decode_s = tokens * model.decode_step_ms / 1000.0
     return decode_s / max(0.001, time_s)
 
 
@@ -96,19 +91,11 @@
     return min(MAX_PREFILL_SHARE, max(MIN_PREFILL_SHARE, 1.0 - needed_decode_share))
 
 
-def expected_answer_s(tokens: int, planned_prefill_share: float) -> float:
+def expected_answer_s(
+    tokens: int, planned_prefill_share: float, model: EngineModel = NOMINAL_MODEL
+) -> float:
     """Return how long an answer's decode takes at an engine's planned prefill share."""
-    return tokens * DECODE_STEP_MS / 1000.0 / (1.0 - planned_prefill_share)
-
-
-def nominal_prefill_ms(tokens: int, cached: int = 0) -> float:
-    """Return the prefill time of a prompt at an engine of nominal speed.
-
-    ``tokens`` are the uncached tokens; ``cached`` the tokens before them that the
-    engine has cached and that attention still covers.
-    """
-    pairs = tokens * (cached + tokens / 2)
-    return tokens / PREFILL_TOKENS_PER_MS + pairs / ATTENTION_PAIRS_PER_MS
+    return tokens * model.decode_step_ms / 1000.0 / (1.0 - planned_prefill_share)
 
 
 class EndpointLoad:
@@ -139,8 +126,10 @@
     prefill_share : float
         Fraction of the engine's time that is planned for prefill. ``Admission`` sets
         it from the requests for the service.
+    model : EngineModel
+        Model of the service's engines; ``use_model`` changes it.
     slowness : float
-        Factor by which the endpoint is slower than the nominal prefill speed.
+        Factor by which the endpoint is slower than the prefill speed of ``model``.
     statement : EndpointStatement or None
         What it last said of itself; None before that.
     leaving_until_s : float
@@ -154,8 +143,15 @@
         from the configuration when it places a request there.
     """
 
-    def __init__(self, *, record: EndpointRecord, now_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        record: EndpointRecord,
+        now_s: float,
+        model: EngineModel = NOMINAL_MODEL,
+    ) -> None:
         self.record = record
+        self.model = model
         self.running = 0
         self.awaiting_first_event = 0
         self.last_seen_s = now_s
@@ -235,20 +231,21 @@
         -------
         float
             Monotonic time at which its first event is expected: the end of its prefill
-            after the backlog, plus ``FIRST_EVENT_OVERHEAD_MS``. Pass it to
+            after the backlog, plus the model's overhead. Pass it to
             ``record_first_event`` and ``record_end`` to identify the request; requests
             with equal times are interchangeable.
         """
         self.running += 1
         self.awaiting_first_event += 1
         if gap_sensitive_tokens:
-            work_ms = prefill_ms + GAP_SENSITIVE_MS_PER_TOKEN * gap_sensitive_tokens
+            step_ms = GAP_SENSITIVE_STEPS_PER_TOKEN * self.model.decode_step_ms
+            work_ms = prefill_ms + step_ms * gap_sensitive_tokens
             self._record_work(now_s, gap_sensitive_ms=work_ms, other_ms=0.0)
         else:
             self._record_work(now_s, gap_sensitive_ms=0.0, other_ms=prefill_ms)
         self._debt_ms = self.debt_ms(now_s) + prefill_ms
         self._prefills_end_s = max(now_s, self._prefills_end_s) + prefill_ms / 1000.0
-        due_s = self._prefills_end_s + FIRST_EVENT_OVERHEAD_MS / 1000.0
+        due_s = self._prefills_end_s + self.model.first_event_overhead_ms / 1000.0
         self._first_events_due_s.append(due_s)
         return due_s
 
@@ -335,19 +332,49 @@
     # Prefill speed
 
     def prefill_ms(self, tokens: int, cached: int = 0) -> float:
-        """Return the expected prefill time of a prompt: nominal time times slowness.
+        """Return the expected prefill time of a prompt: the model's times slowness.
 
-        The parameters are those of ``nominal_prefill_ms``.
+        The parameters are those of ``EngineModel.prefill_ms``.
         """
-        return nominal_prefill_ms(tokens, cached) * self.slowness
+        return self.model.prefill_ms(tokens, cached) * self.slowness
+
+    def use_model(
+        self, model: EngineModel, now_s: float, slowness: float | None = None
+    ) -> None:
+        """Replace the model of the service's engines.
+
+        The work that is placed is converted to the new expected times. Without a
+        ``slowness``, the speed of this engine stays the same as far as the limits of
+        the slowness allow.
+        """
+        if model == self.model:
+            return
+        ratio = relative_prefill(model, self.model)
+        if slowness is None:
+            slowness = self.slowness / ratio
+        slowness = min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
+        work_ratio = ratio * slowness / self.slowness
+        self.debt_ms(now_s)
+        self._record_work(now_s, gap_sensitive_ms=0.0, other_ms=0.0)
+        self._debt_ms *= work_ratio
+        self._gap_sensitive_work_ms *= work_ratio
+        self._other_work_ms *= work_ratio
+        if self._prefills_end_s > now_s:
+            self._prefills_end_s = now_s + (self._prefills_end_s - now_s) * work_ratio
+        self.model = model
+        self.slowness = slowness
 
     def update_slowness(
-        self, expected_ms: float, observed_ms: float, assumed_slowness: float
+        self,
+        expected_ms: float,
+        observed_ms: float,
+        assumed_slowness: float,
+        model: EngineModel = NOMINAL_MODEL,
     ) -> None:
         """Adjust the slowness to an observed prefill.
 
         The sample is ``assumed_slowness`` times the observed by the expected time, both
-        with ``FIRST_EVENT_OVERHEAD_MS`` added, limited to between 0.5 and
+        with the overhead of ``model`` added, limited to between 0.5 and
         ``MAX_SLOWNESS``.
 
         Parameters
@@ -355,13 +382,17 @@
         expected_ms : float
             Expected backlog and prefill time at dispatch.
         observed_ms : float
-            Time to the first event less ``FIRST_EVENT_OVERHEAD_MS``.
+            Time to the first event less the overhead of ``model``.
         assumed_slowness : float
             Slowness at dispatch, which ``expected_ms`` contains.
+        model : EngineModel
+            Model at dispatch, which ``expected_ms`` contains.
         """
-        ratio = (observed_ms + FIRST_EVENT_OVERHEAD_MS) / (
-            expected_ms + FIRST_EVENT_OVERHEAD_MS
+        ratio = (observed_ms + model.first_event_overhead_ms) / (
+            expected_ms + model.first_event_overhead_ms
         )
+        if model != self.model:
+            ratio *= relative_prefill(model, self.model)
         sample = min(MAX_SLOWNESS, max(MIN_SLOWNESS, assumed_slowness * ratio))
         self.slowness += SLOWNESS_SAMPLE_WEIGHT * (sample - self.slowness)
 
@@ -383,7 +414,7 @@
         max_factor = MAX_DECODE_FACTOR_AT_NOMINAL_SPEED * max(1.0, self.slowness)
         factor = min(max_factor, self._decode_factor.value)
         self.prefill_share = prefill_share(
-            needed_tokens_per_ms * DECODE_STEP_MS * factor
+            needed_tokens_per_ms * self.model.decode_step_ms * factor
         )
 
     # Failures
--- a/src/shallotroad/policy/placement.py
+++ b/src/shallotroad/policy/placement.py
@@ -15,9 +15,8 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from shallotroad.policy.endpoint_load import ATTENTION_PAIRS_PER_MS
-from shallotroad.policy.endpoint_load import DECODE_STEP_MS
-from shallotroad.policy.endpoint_load import PREFILL_TOKENS_PER_MS
+from shallotroad.policy.engine_model import NOMINAL_MODEL
+from shallotroad.policy.engine_model import Prefill
 
 
 if TYPE_CHECKING:
@@ -26,6 +25,7 @@
 
     from shallotroad.platform.headers import PromptPart
     from shallotroad.policy.endpoint_load import EndpointLoad
+    from shallotroad.policy.engine_model import EngineModel
 
 # Penalty for prefilling tokens that another engine may have cached: it takes time
 # that queued prompts need.
@@ -120,6 +120,10 @@
     number : int
         Number of the request among the gateway's requests in flight; 0 before it is
         assigned.
+    model : EngineModel
+        Model of the engine that the expected times contain.
+    prefill : Prefill or None
+        The prompt, if its first event shows the speed of an engine; None otherwise.
     """
 
     load: EndpointLoad
@@ -131,6 +135,8 @@
     slowness: float = 1.0
     due_s: float = 0.0
     number: int = 0
+    model: EngineModel = NOMINAL_MODEL
+    prefill: Prefill | None = None
 
     def inputs(self) -> dict[str, object]:
         """Return the inputs of the placement decision as log fields.
@@ -196,6 +202,7 @@
             cached_tokens=self.cached_tokens,
             reserved=view.reserved,
             slowness=view.load.slowness,
+            model=view.load.model,
         )
 
 
@@ -219,13 +226,13 @@
 
 
 def decode_stall_threshold_tokens(
-    max_event_gap_ms: float, tokens_per_event: int
+    max_event_gap_ms: float, tokens_per_event: int, model: EngineModel = NOMINAL_MODEL
 ) -> float:
     """Return the prompt length in tokens above which its prefill stalls other streams.
 
     Each step gives each running stream one token and prefills one chunk. After ``n``
-    tokens, it takes ``DECODE_STEP_MS + PREFILL_CHUNK_TOKENS / PREFILL_TOKENS_PER_MS
-    + PREFILL_CHUNK_TOKENS * n / ATTENTION_PAIRS_PER_MS`` milliseconds. The result is
+    tokens, it takes ``decode_step_ms + PREFILL_CHUNK_TOKENS / prefill_tokens_per_ms
+    + PREFILL_CHUNK_TOKENS * n / attention_pairs_per_ms`` milliseconds. The result is
     the ``n`` at which ``tokens_per_event`` steps take ``max_event_gap_ms``; it is 0.0
     if they take longer at any ``n``.
 
@@ -235,13 +242,15 @@
         Lowest event gap limit of the service's streams.
     tokens_per_event : int
         Tokens in each event of a stream (``Engine.tokens_per_event``), at least 1.
+    model : EngineModel
+        Model of the service's engines.
     """
     step_ms = max_event_gap_ms / tokens_per_event
-    chunk_ms = PREFILL_CHUNK_TOKENS / PREFILL_TOKENS_PER_MS
+    chunk_ms = PREFILL_CHUNK_TOKENS / model.prefill_tokens_per_ms
     return (
-        max(0.0, step_ms - DECODE_STEP_MS - chunk_ms)
+        max(0.0, step_ms - model.decode_step_ms - chunk_ms)
         / PREFILL_CHUNK_TOKENS
-        * ATTENTION_PAIRS_PER_MS
+        * model.attention_pairs_per_ms
     )
 
 
--- a/tests/coordination_builders.py
+++ b/tests/coordination_builders.py
@@ -143,6 +143,7 @@
         endpoint_registry=admission_fixture.endpoint_registry,
         membership=membership,
         survey=survey,
+        engine_models=admission_fixture.engine_models,
         send=protocol.send,
         clock=clock,
     )
@@ -153,6 +154,7 @@
         clock=clock,
         draining=lambda: bool(draining),
         survey=survey,
+        engine_models=admission_fixture.engine_models,
         report_interval_s=placement_client.report_interval_s,
     )
     protocol.set_handlers(coordinator=coordinator, placement_client=placement_client)
--- a/tests/engine_simulation.py
+++ b/tests/engine_simulation.py
@@ -13,10 +13,11 @@
 
 from shallotroad.gateway.exceptions import RefusedError
 from shallotroad.policy.decode_pace import StreamPace
-from shallotroad.policy.endpoint_load import FIRST_EVENT_OVERHEAD_MS
+from shallotroad.policy.engine_model import StepTimer
 
 
 if TYPE_CHECKING:
+    from shallotroad.gateway.engine_models import EngineModels
     from shallotroad.gateway.job import Job
     from shallotroad.policy.placement import Placement
     from shallotroad.policy.placement_request import PlacementRequest
@@ -30,10 +31,22 @@
 
 
 class SimulatedRequest:
-    """A request at an engine: a prompt to prefill, then an answer to decode."""
-
-    def __init__(self, *, job: Job, placement: Placement, answer_tokens: int) -> None:
+    """A request at an engine: a prompt to prefill, then an answer to decode.
+
+    ``engine_models`` learns from its events; None if nothing learns.
+    """
+
+    def __init__(
+        self,
+        *,
+        job: Job,
+        placement: Placement,
+        answer_tokens: int,
+        engine_models: EngineModels | None = None,
+    ) -> None:
         self.job = job
+        self.engine_models = engine_models
+        self.steps = StepTimer(tokens_per_event=TOKENS_PER_EVENT)
         self.placement = placement
         self.prompt_tokens = job.request.prompt_tokens - placement.cached_tokens
         self.answer_tokens = answer_tokens
@@ -46,15 +59,22 @@
         )
         self.tokens_since_event = 0
         self.started = False
+        self.event_arrived = False
+        self.has_left = False
         self.first_event_s = math.inf
+        self.first_event_ms = math.inf
         self.ended = asyncio.Event()
 
 
 class SimulatedEngine:
-    """One engine; ``speed`` divides the time of all its steps."""
+    """One engine; ``speed`` divides the time of all its steps.
+
+    ``overhead_s`` passes between a first token and its arrival at the gateway.
+    """
 
-    def __init__(self, *, speed: float = 1.0) -> None:
-        self._speed = speed
+    def __init__(self, *, speed: float = 1.0, overhead_s: float = 0.0) -> None:
+        self.speed = speed
+        self._overhead_s = overhead_s
         self._prompts: deque[SimulatedRequest] = deque()
         self._streams: list[SimulatedRequest] = []
         self._work = asyncio.Event()
@@ -80,7 +100,7 @@
                 chunk = min(CHUNK_TOKENS, max(0, prompt.prompt_tokens))
                 prompt.prompt_tokens -= chunk
                 step_s += chunk / PREFILL_TOKENS_PER_S
-            await asyncio.sleep(step_s / self._speed)
+            await asyncio.sleep(step_s / self.speed)
             if prompt is not None and prompt.prompt_tokens <= 0:
                 self._start_stream(prompt)
             for stream in list(self._streams):
@@ -97,7 +117,9 @@
         if not stream.started:
             stream.started = True
             stream.first_event_s = now_s
-            self._record_first_event(stream, now_s)
+            asyncio.get_running_loop().call_later(
+                self._overhead_s, self._record_first_event, stream
+            )
         self._record_token(stream, now_s)
         stream.answer_tokens -= 1
         if stream.answer_tokens <= 0:
@@ -110,18 +132,36 @@
         if stream.tokens_since_event < TOKENS_PER_EVENT:
             return
         stream.tokens_since_event = 0
+        stream.steps.record_events(1, now_s)
+        if stream.engine_models is not None:
+            stream.engine_models.record_step(stream.placement.load, stream.steps.take())
         stream.pace.record_events(1, now_s)
         lag = stream.pace.take_lag()
         if lag is not None:
             stream.placement.load.record_lag(lag)
 
-    def _record_first_event(self, stream: SimulatedRequest, now_s: float) -> None:
+    def _record_first_event(self, stream: SimulatedRequest) -> None:
         """Update the load as a gateway does at the first event of an attempt."""
+        if stream.has_left:
+            return
+        stream.event_arrived = True
+        now_s = asyncio.get_running_loop().time()
         placement = stream.placement
         placement.load.record_first_event(placement.due_s, now_s)
-        observed_ms = (now_s - stream.placed_s) * 1000 - FIRST_EVENT_OVERHEAD_MS
+        first_event_ms = (now_s - stream.placed_s) * 1000
+        stream.first_event_ms = first_event_ms
         expected_ms = placement.backlog_ms + placement.prefill_ms
-        placement.load.update_slowness(expected_ms, observed_ms, stream.slowness)
+        overhead_ms = placement.model.first_event_overhead_ms
+        placement.load.update_slowness(
+            expected_ms,
+            first_event_ms - overhead_ms,
+            stream.slowness,
+            placement.model,
+        )
+        if stream.engine_models is not None and placement.prefill is not None:
+            stream.engine_models.record_first_event(
+                placement.load, placement.prefill, first_event_ms
+            )
 
 
 class Outcomes:
@@ -134,6 +174,7 @@
         self.late = 0
         self.refused_after_s: list[float] = []
         self.retry_after_s: list[float] = []
+        self.requests: list[SimulatedRequest] = []
 
     @property
     def cut_share(self) -> float:
@@ -158,8 +199,13 @@
     placement_request: PlacementRequest,
     answer_tokens: int,
     outcomes: Outcomes,
+    *,
+    learns: bool = True,
 ) -> None:
-    """Place a request, and let its engine serve it until its caller leaves."""
+    """Place a request, and let its engine serve it until its caller leaves.
+
+    With ``learns``, its events are passed to the learned model of engines.
+    """
     clock = fixture.clock
     try:
         placement = await fixture.admission.place(placement_request)
@@ -170,8 +216,12 @@
         return
     engine = engines[placement.load.record.identifier]
     request = SimulatedRequest(
-        job=job, placement=placement, answer_tokens=answer_tokens
+        job=job,
+        placement=placement,
+        answer_tokens=answer_tokens,
+        engine_models=fixture.engine_models if learns else None,
     )
+    outcomes.requests.append(request)
     engine.add(request)
     try:
         async with asyncio.timeout(job.end_s - clock()):
@@ -180,7 +230,10 @@
     except TimeoutError:
         engine.remove(request)
         outcomes.cut += 1
-    placement.load.record_end(placement.due_s, started=request.started, now_s=clock())
+    request.has_left = True
+    placement.load.record_end(
+        placement.due_s, started=request.event_arrived, now_s=clock()
+    )
     if request.first_event_s > job.objective_s:
         outcomes.late += 1
     fixture.admission.schedule_dispatch()
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -17,6 +17,7 @@
 from shallotroad.catalog.endpoint import EndpointRecord
 from shallotroad.gateway.admission import Admission
 from shallotroad.gateway.endpoint_registry import EndpointRegistry
+from shallotroad.gateway.engine_models import EngineModels
 from shallotroad.gateway.job import Job
 from shallotroad.platform.headers import CallerRequest
 from shallotroad.platform.headers import PromptPart
@@ -187,6 +188,7 @@
     endpoint_registry: EndpointRegistry
     catalog: Catalog
     admission: Admission
+    engine_models: EngineModels
 
 
 def make_admission_fixture(
@@ -219,7 +221,13 @@
     catalog.adopt_configuration(make_configuration())
     for number in range(endpoints):
         catalog.put_endpoint(make_record(f"e{number}", port=9000 + number, **record))
-    return AdmissionFixture(clock, endpoint_registry, catalog, admission)
+    engine_models = EngineModels(
+        endpoint_registry=endpoint_registry,
+        has_engine=lambda service: catalog.service(service).engine is not None,
+        clock=clock,
+    )
+    engine_models.on_changed = admission.rescale_prefills
+    return AdmissionFixture(clock, endpoint_registry, catalog, admission, engine_models)
 
 
 def make_rng() -> random.Random:
