--- a/src/shallotroad/gateway/coordination/messages.py
+++ b/src/shallotroad/gateway/coordination/messages.py
@@ -420,8 +420,10 @@
         fields = [message.number, message.success, message.failure_weight]
         return orjson.dumps(["end", list(message.sender), *fields])
     kind = REPLY_KINDS[type(message)]
-    if isinstance(message, Grant) and message.model == NOMINAL_MODEL:
-        return orjson.dumps([kind, *message[:-1]])
+    if isinstance(message, Grant):
+        learned = message.model != NOMINAL_MODEL
+        models = [list(message.model)] if learned else []
+        return orjson.dumps([kind, *message[:-1], *models])
     return orjson.dumps([kind, *message])
 
 
--- a/src/shallotroad/gateway/endpoint_registry.py
+++ b/src/shallotroad/gateway/endpoint_registry.py
@@ -113,7 +113,7 @@
         """Replace the model in force of the engines of a service.
 
         ``factors`` has the slowness of endpoints for which it is known relative to the
-        new model; the others keep their speed.
+        new model; see ``EndpointLoad.use_model`` for the others.
         """
         self._engine_models[service] = model
         now_s = self._clock()
--- a/src/shallotroad/gateway/engine_models.py
+++ b/src/shallotroad/gateway/engine_models.py
@@ -206,8 +206,7 @@
         rows = []
         for age_s, service in recent[:MAX_ROWS]:
             state = self._in_force[service]
-            figures = [float(f"{figure:.5g}") for figure in state.model]
-            rows.append([service, round(age_s * 1000), *figures, state.samples])
+            rows.append([service, round(age_s * 1000), *state.model, state.samples])
         return rows
 
     def merge(self, rows: object) -> None:
--- a/src/shallotroad/gateway/exports.py
+++ b/src/shallotroad/gateway/exports.py
@@ -70,6 +70,7 @@
             )
         },
         "granted_to_others": components.coordinator.remote_in_flight_count,
+        "engine_models": components.engine_models.rows(),
         "waiting": components.admission.queue_length,
         "open_requests": components.frontend.open_requests,
         "stopping": components.frontend.draining,
--- a/src/shallotroad/policy/endpoint_load.py
+++ b/src/shallotroad/policy/endpoint_load.py
@@ -344,14 +344,15 @@
         """Replace the model of the service's engines.
 
         The work that is placed is converted to the new expected times. Without a
-        ``slowness``, the speed of this engine stays the same as far as the limits of
-        the slowness allow.
+        ``slowness``, the speed of this engine stays the same between learned models.
+        Otherwise the slowness is 1: the one before may have been at its limit.
         """
         if model == self.model:
             return
         ratio = relative_prefill(model, self.model)
         if slowness is None:
-            slowness = self.slowness / ratio
+            nominal = NOMINAL_MODEL in (model, self.model)
+            slowness = 1.0 if nominal else self.slowness / ratio
         slowness = min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
         work_ratio = ratio * slowness / self.slowness
         self.debt_ms(now_s)
--- a/src/shallotroad/policy/engine_model.py
+++ b/src/shallotroad/policy/engine_model.py
@@ -62,6 +62,7 @@
 # No real engine is outside these bounds.
 MIN_MODEL = EngineModel(1.0, 10_000.0, 1.0, 0.2)
 MAX_MODEL = EngineModel(5_000.0, 1_000_000_000.0, 1_000.0, 500.0)
+MODEL_DIGITS = 5
 # Prompt by which two models are compared where no prompts were observed.
 TYPICAL_PROMPT_TOKENS = 4_000
 
@@ -85,9 +86,9 @@
 # A service with fewer endpoints needs samples of all of them, so that one endpoint does
 # not decide for others.
 MIN_FIT_ENDPOINTS = 3
-# Samples of an idle engine without which the model may not become slow: beside other
-# prompts and streams, an engine of any speed is slow.
-MIN_ALONE_SAMPLES = 8
+# Samples of idle engines without which the model may not become slow: the wait for
+# a free slot among the streams looks like slow prefill.
+MIN_ALONE_SAMPLES = 6
 # Delays only lengthen a sample, so a quantile below the median is fitted.
 FIT_QUANTILE = 0.4
 # Prefills behind others are summed until they reach this nominal time, because an
@@ -95,14 +96,20 @@
 MIN_RUN_NOMINAL_MS = 60.0
 # Overheads that are tried. One network and one step are rarely above the last.
 OVERHEADS_MS = (5.0, 15.0, 25.0, 35.0, 50.0, 70.0, 100.0, 140.0, 200.0)
-# An overhead explains the samples as well as the best one up to this factor of the loss.
+# Overheads explain the samples about as well as the best one up to this factor of loss.
 NEAR_BEST_LOSS = 1.1
+# Weight of the doubt about an overhead, by the logarithm of its disproportion.
+OVERHEAD_DOUBT = 0.02
 # Relative costs of attention that are tried besides the nominal one, and the factor of
 # the loss below which one is taken.
 ATTENTION_COSTS = (0.4, 0.7, 1.6, 2.5)
 BETTER_LOSS = 0.9
-# Decode steps: this quantile of the latest samples. Prefill of others lengthens them.
+# Decode steps: this quantile of the latest samples, within these factors of what the
+# prefill speed suggests. Prefills of others lengthen the samples, few streams shorten
+# them.
 STEP_QUANTILE = 0.25
+MIN_RELATIVE_STEP = 0.5
+MAX_RELATIVE_STEP = 2.0
 MAX_STEP_SAMPLES = 64
 MIN_STEP_SAMPLES = 8
 EVENTS_PER_STEP_SAMPLE = 4
@@ -115,10 +122,13 @@
 
 
 def clamp_model(model: EngineModel) -> EngineModel:
-    """Return the model within ``MIN_MODEL`` and ``MAX_MODEL``."""
+    """Return the model within ``MIN_MODEL`` and ``MAX_MODEL``.
+
+    The figures are rounded, so that those sent in messages equal them.
+    """
     return EngineModel(
         *(
-            min(highest, max(lowest, value))
+            float(f"{min(highest, max(lowest, value)):.{MODEL_DIGITS}g}")
             for value, lowest, highest in zip(model, MIN_MODEL, MAX_MODEL, strict=True)
         )
     )
@@ -346,6 +356,14 @@
     return slopes, loss
 
 
+def _doubtful_loss(fit: tuple[float, dict[str, float], float, float]) -> float:
+    """Return a loss that is larger for an overhead out of proportion to the prefill."""
+    overhead_ms, _, loss, middle = fit
+    relative_overhead = overhead_ms / NOMINAL_MODEL.first_event_overhead_ms
+    doubt = abs(math.log(relative_overhead / middle))
+    return (loss + 1e-9) * (1.0 + OVERHEAD_DOUBT * doubt)
+
+
 def _middle(slopes: dict[str, float], reference: float) -> float:
     """Return the factor of a service from those of its endpoints.
 
@@ -483,7 +501,7 @@
                 for sample in list(kept.samples)[-latest:]
                 if sample.alone or not alone_only
             ]
-            if len(endpoint_rows) >= MIN_SAMPLES_PER_ENDPOINT:
+            if len(endpoint_rows) >= (1 if alone_only else MIN_SAMPLES_PER_ENDPOINT):
                 rows[endpoint] = endpoint_rows
         return rows
 
@@ -505,14 +523,9 @@
             for overhead_ms, slopes, loss in fits
             if loss <= NEAR_BEST_LOSS * least + 1e-9
         ]
-        # Among overheads that explain the samples about equally well, the one that is
-        # as far from the nominal overhead as the prefill is from the nominal prefill.
-        overhead_ms, slopes, loss, middle = min(
-            near,
-            key=lambda fit: abs(
-                math.log(fit[0] / NOMINAL_MODEL.first_event_overhead_ms / fit[3])
-            ),
-        )
+        # Equal prompts fit any overhead; then it is as far from the nominal overhead as
+        # the prefill is from the nominal prefill.
+        overhead_ms, slopes, loss, middle = min(near, key=_doubtful_loss)
         low = min(fit[3] for fit in near)
         high = max(fit[3] for fit in near)
         if low > SWITCH_ON_ABOVE and not self.learned:
@@ -525,7 +538,7 @@
                 NOMINAL_MODEL.prefill_tokens_per_ms / middle,
                 NOMINAL_MODEL.attention_pairs_per_ms / middle / cost,
                 overhead_ms,
-                self._step_ms(in_force),
+                self._step_ms(middle),
             )
         )
         factors = {endpoint: slope / middle for endpoint, slope in slopes.items()}
@@ -563,8 +576,16 @@
                 best = (cost, other_slopes, _middle(other_slopes, reference))
         return best
 
-    def _step_ms(self, in_force: EngineModel) -> float:
+    def _step_ms(self, prefill_factor: float) -> float:
+        """Return the decode step, given the prefill time by the nominal one."""
+        suggested_ms = NOMINAL_MODEL.decode_step_ms * prefill_factor
         if len(self._steps_ms) < MIN_STEP_SAMPLES:
-            return in_force.decode_step_ms
+            return suggested_ms
         ordered = sorted(self._steps_ms)
-        return ordered[int(STEP_QUANTILE * len(ordered))]
+        return min(
+            MAX_RELATIVE_STEP * suggested_ms,
+            max(
+                MIN_RELATIVE_STEP * suggested_ms,
+                ordered[int(STEP_QUANTILE * len(ordered))],
+            ),
+        )
