--- a/src/shallotroad/policy/engine_model.py
+++ b/src/shallotroad/policy/engine_model.py
@@ -77,6 +77,7 @@
 FITS_TO_SWITCH_ON = 2
 FITS_TO_SWITCH_OFF = 5
 
+MAX_FIRST_EVENT_MS = 600_000.0
 # A sample has half of its weight after this time.
 SAMPLE_HALF_LIFE_S = 5.0
 SAMPLES_PER_ENDPOINT = 24
@@ -223,6 +224,8 @@
 
     def record(self, prefill: Prefill, first_event_ms: float, now_s: float) -> bool:
         """Record the first event of a request; return whether it made a sample."""
+        if not 0 < first_event_ms < MAX_FIRST_EVENT_MS:
+            return False
         tokens = float(prefill.tokens)
         pairs = tokens * (prefill.cached + tokens / 2)
         waited = prefill.placed_s <= self._last_first_event_s
@@ -230,7 +233,7 @@
             self._begin_run(now_s)
         self._last_first_event_s = now_s
         if prefill.alone:
-            if tokens <= 0 or first_event_ms <= 0:
+            if tokens <= 0:
                 return False
             self.samples.append(
                 PrefillSample(tokens, pairs, True, first_event_ms, now_s)
--- a/tests/unit/policy/test_engine_model.py
+++ b/tests/unit/policy/test_engine_model.py
@@ -206,6 +206,20 @@
     assert steps.take() == 0.0
 
 
+@pytest.mark.parametrize("first_event_ms", [-1.0, 0.0, 1e9, 1e308])
+def test_absurd_times_are_no_samples(first_event_ms: float) -> None:
+    """A message of another gateway may contain any finite number."""
+    engines = ObservedEngines(make_equal(0.3))
+    engines.serve_alone(1.0)
+    for _ in range(200):
+        engines.now_s += 0.001
+        prefill = Prefill(1_000, 0, engines.now_s - 0.01, True)
+        engines._record("e0", prefill, first_event_ms)
+    engines.serve_alone(2.0)
+    assert engines.estimator.learned
+    assert 0.25 < engines.ratio < 0.36
+
+
 @pytest.mark.parametrize(
     "model",
     [
