Keep work in its data centre while local engines have time

Cause: a remote engine cost 6 ms and 14 ms a KiB whatever the load, a repeated prefill 0.2 ms a token. So any engine that had a shared part cached drew most requests for it to its data centre, although the local engines were idle.

Change: the coordinator of a cell computes, for each data centre of callers, the share of the engine time that exceeds the local one. The rest prefers local engines where one has room: remote ones cost a fifth of the objective more (500 ms at most), new and unused parts are read locally, recently used ones where the expected reuses pay for the copy. Metrics show the share, the placements and the bytes that leave.

--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -22,10 +22,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from shallotroad.gateway.exceptions import RefusedError
 from shallotroad.observability.event_log import log_event
+from shallotroad.policy.data_centre_balance import DataCentreBalance
 from shallotroad.policy.endpoint_load import FIRST_EVENT_OVERHEAD_MS
 from shallotroad.policy.endpoint_load import nominal_prefill_ms
 from shallotroad.policy.endpoint_rate import MIN_STATED_PER_S
@@ -46,6 +48,7 @@
     from shallotroad.gateway.endpoint_registry import EndpointRegistry
     from shallotroad.platform.headers import PromptPart
     from shallotroad.policy.cells import Cell
+    from shallotroad.policy.data_centre_balance import LocalPreference
     from shallotroad.policy.endpoint_load import EndpointLoad
     from shallotroad.policy.endpoint_rate import EndpointRateLimiter
     from shallotroad.policy.placement import RankedEngine
@@ -74,6 +77,8 @@
 # in flight there, because its prefill stalls their streams.
 MAX_RUNNING_ON_RESERVED = 6
 QUEUE_LOG_INTERVAL_S = 1.0
+# The shares that may leave a data centre are logged when one has changed by this much.
+LOGGED_SHARE_CHANGE = 0.1
 MAX_LOGGED_ENDPOINTS = 30
 # A dispatch is a pass over the queue that places what has room. Backlogs and cold
 # starts end without an event that would trigger one.
@@ -239,6 +244,9 @@
         self._rate_sharers = rate_sharers
         self._clock = clock
         self._recent_parts = RecentParts()
+        self.data_centre_balance = DataCentreBalance(prefix_reuse_s=prefix_reuse_s)
+        self._logged_shares: dict[Cell, dict[str, float]] = {}
+        self._shares_logged_s = -math.inf
         self._needed_tokens_per_ms: dict[str, float] = {}
         self._queue: list[QueuedPlacement] = []
         self._dispatch_timer: asyncio.TimerHandle | None = None
@@ -553,8 +561,67 @@
             ],
         )
 
+    def _local_preference(
+        self,
+        request: PlacementRequest,
+        views: Sequence[EngineView],
+        now_s: float,
+    ) -> LocalPreference | None:
+        """Return the preference for engines of the callers' data centre, if any.
+
+        None if no such engine has room: queueing there would cost more than leaving.
+        """
+        balance = self.data_centre_balance
+        if balance.needs_update(request.cell, now_s):
+            registry = self._endpoint_registry
+            balance.update(
+                request.cell,
+                registry.open_loads(request.cell),
+                registry.reserved_endpoints(request.cell),
+                now_s,
+            )
+            self._log_shares(now_s)
+        preference = balance.preference(request, now_s)
+        data_centre = request.profile.data_centre
+        if preference is None or not any(
+            view.load.record.data_centre == data_centre
+            and view.running < view.load.record.slots
+            and _has_room(request, view, now_s)
+            for view in views
+        ):
+            return None
+        return preference
+
+    def _log_shares(self, now_s: float) -> None:
+        """Log the shares of one cell whose shares have changed, if it is time."""
+        if now_s - self._shares_logged_s < QUEUE_LOG_INTERVAL_S:
+            return
+        shares = self.data_centre_balance.shares()
+        for cell, current in shares.items():
+            logged = self._logged_shares.get(cell, {})
+            if logged.keys() != current.keys() or any(
+                abs(share - logged[name]) >= LOGGED_SHARE_CHANGE
+                for name, share in current.items()
+            ):
+                self._shares_logged_s = now_s
+                self._logged_shares = {
+                    known: self._logged_shares.get(known, {}) for known in shares
+                }
+                self._logged_shares[cell] = current
+                log_event(
+                    "share of work that may leave",
+                    service=cell.service,
+                    cell=cell.name,
+                    shares={n: round(share, 2) for n, share in current.items()},
+                )
+                return
+
     def _try_place(
-        self, request: PlacementRequest, placement_round: PlacementRound
+        self,
+        request: PlacementRequest,
+        placement_round: PlacementRound,
+        *,
+        balanced: bool = True,
     ) -> Placement | None:
         """Return a placement, or None if the request must wait or has no endpoint.
 
@@ -563,7 +630,9 @@
         skipped. For a service with an engine, the search ends with None at the first
         engine that has a free slot but no room (``_has_room``), which may be a reserved
         one that the request may not use: engines after it cost more, and queueing is
-        cheaper than prefilling there.
+        cheaper than prefilling there. If that engine was preferred for its data centre,
+        the search is repeated at the constant costs (``balanced`` False), so that no
+        request waits for a local engine while a remote one has room.
         """
         service = self._catalog.service(request.service)
         views = placement_round.usable_views(request)
@@ -575,8 +644,14 @@
         recently_used_tokens = self._recent_parts.recently_used_tokens(
             shared_parts, placement_round.now_s - self._prefix_reuse_s
         )
+        local = None
+        if balanced and service.engine is not None:
+            local = self._local_preference(request, views, placement_round.now_s)
         for ranked in rank_engines(
-            request.profile, views, recently_used_tokens=recently_used_tokens
+            request.profile,
+            views,
+            recently_used_tokens=recently_used_tokens,
+            local=local,
         ):
             load = ranked.view.load
             if load.running >= load.record.slots:
@@ -584,6 +659,8 @@
             if service.engine is not None and not _has_room(
                 request, ranked.view, placement_round.now_s
             ):
+                if local is not None:
+                    return self._try_place(request, placement_round, balanced=False)
                 # The cost includes the backlog, so every later engine costs more and
                 # queueing is cheaper than prefilling there.
                 return None
@@ -614,6 +691,9 @@
             load.kv_cache_tokens = service.engine.kv_cache_tokens
             load.record_parts(request.profile.parts)
             self._recent_parts.record(request.profile.parts, now_s)
+            self.data_centre_balance.record_placement(
+                request, load, ranked.prefill_ms, now_s
+            )
         return ranked.placement()._replace(due_s=due_s)
 
     def _take_permits(self, service: Service, load: EndpointLoad, now_s: float) -> bool:
--- a/src/shallotroad/gateway/metrics.py
+++ b/src/shallotroad/gateway/metrics.py
@@ -16,6 +16,7 @@
     from collections.abc import Callable
 
     from shallotroad.gateway.factory import Components
+    from shallotroad.policy.data_centre_balance import DataCentreBalance
 
 LATENCY_BUCKETS_S = (
     0.01,
@@ -68,6 +69,17 @@
     state : Gauge
         Current values by ``name``, such as "waiting" or "open_requests";
         ``make_gauge_updater`` sets them before they are read.
+    remote_share : Gauge
+        Share of the work of a service's callers that may leave their data centre at
+        the constant costs, by ``service``, ``cell`` and ``data_centre``; only where
+        this gateway places requests and the balance between data centres is in use.
+    engine_placements : Counter
+        Requests that this gateway placed on engines, for all gateways that ask it, by
+        ``service``, ``data_centre`` of the callers and ``to`` ("own" or "other" data
+        centre).
+    remote_bytes : Counter
+        Bytes of the bodies of those placed in another data centre, by ``service`` and
+        ``data_centre`` of the callers.
     """
 
     def __init__(self) -> None:
@@ -123,6 +135,21 @@
         self.state = Gauge(
             "shallotroad_gateway", "State of a gateway, by name", registry=self.registry
         )
+        self.remote_share = Gauge(
+            "shallotroad_remote_share",
+            "Share of the work that may leave the callers' data centre",
+            registry=self.registry,
+        )
+        self.engine_placements = Counter(
+            "shallotroad_engine_placements_total",
+            "Requests placed on engines in the callers' own and in other data centres",
+            registry=self.registry,
+        )
+        self.remote_bytes = Counter(
+            "shallotroad_remote_body_bytes_total",
+            "Bytes of bodies placed on engines in other data centres",
+            registry=self.registry,
+        )
 
 
 def make_gauge_updater(components: Components) -> Callable[[], None]:
@@ -147,5 +174,25 @@
         }
         for name, value in values.items():
             components.metrics.state.set({"name": name}, value)
+        update_balance_metrics(
+            components.metrics, components.admission.data_centre_balance
+        )
 
     return update_gauges
+
+
+def update_balance_metrics(metrics: GatewayMetrics, balance: DataCentreBalance) -> None:
+    """Export the balance between data centres.
+
+    Shares of cells that this gateway no longer places in are removed.
+    """
+    metrics.remote_share.values.clear()
+    for cell, shares in balance.shares().items():
+        for data_centre, share in shares.items():
+            labels = {"service": cell.service, "cell": cell.name}
+            metrics.remote_share.set({**labels, "data_centre": data_centre}, share)
+    for (service, data_centre), totals in balance.totals.items():
+        labels = {"service": service, "data_centre": data_centre}
+        metrics.engine_placements.set({**labels, "to": "own"}, totals.local)
+        metrics.engine_placements.set({**labels, "to": "other"}, totals.remote)
+        metrics.remote_bytes.set(labels, totals.remote_bytes)
--- a/src/shallotroad/policy/placement.py
+++ b/src/shallotroad/policy/placement.py
@@ -25,6 +25,7 @@
     from collections.abc import Sequence
 
     from shallotroad.platform.headers import PromptPart
+    from shallotroad.policy.data_centre_balance import LocalPreference
     from shallotroad.policy.endpoint_load import EndpointLoad
 
 # Penalty for prefilling tokens that another engine may have cached: it takes time
@@ -342,8 +343,27 @@
     return cost_ms
 
 
+def _stays_local(
+    profile: RequestProfile,
+    cached: Sequence[int],
+    local_tokens: int,
+    local: LocalPreference,
+    recently_used_tokens: int,
+) -> bool:
+    """Return whether a request prefers local engines, also at a later first event."""
+    return len(profile.parts) < 2 or local.applies(
+        local_tokens=local_tokens,
+        best_tokens=max(cached, default=0),
+        recently_used_tokens=recently_used_tokens,
+    )
+
+
 def rank_engines(
-    profile: RequestProfile, views: Sequence[EngineView], *, recently_used_tokens: int
+    profile: RequestProfile,
+    views: Sequence[EngineView],
+    *,
+    recently_used_tokens: int,
+    local: LocalPreference | None = None,
 ) -> Iterator[RankedEngine]:
     """Yield the engines with their costs, the lowest cost first.
 
@@ -365,6 +385,12 @@
         counts as cached somewhere after its last use (``Bounds.prefix_reuse_s``). An
         engine that has fewer tokens cached costs ``REPEATED_PREFILL_MS_PER_TOKEN`` for
         each one missing.
+    local : LocalPreference or None
+        Preference for engines of the callers' data centre (``DataCentreBalance``). If
+        it applies to the prompt, remote engines cost ``remote_ms`` more, a local
+        engine costs ``REPEATED_PREFILL_MS_PER_TOKEN`` only for tokens that another
+        local one has cached, and the preferred endpoint is a local one. None for the
+        constant costs.
     """
     parts, total, gap_tolerant = (
         profile.parts,
@@ -372,31 +398,54 @@
         profile.gap_tolerant,
     )
     cached = [view.load.cached_tokens(parts) for view in views]
-    preferred = _preferred_engine(profile, views, cached)
+    cross_data_centre_ms = (
+        CROSS_DATA_CENTRE_MS + CROSS_DATA_CENTRE_MS_PER_KIB * profile.body_bytes / 1024
+    )
+    needed_locally = recently_used_tokens
+    candidates = views
+    if local is not None:
+        candidates = [
+            view
+            for view in views
+            if view.load.record.data_centre == profile.data_centre
+        ]
+        local_tokens = max(
+            (
+                tokens
+                for view, tokens in zip(views, cached, strict=True)
+                if view.load.record.data_centre == profile.data_centre
+            ),
+            default=0,
+        )
+        if _stays_local(profile, cached, local_tokens, local, recently_used_tokens):
+            cross_data_centre_ms += local.remote_ms
+            needed_locally = min(recently_used_tokens, local_tokens)
+        else:
+            candidates = views
+    preferred = _preferred_engine(profile, candidates, cached)
     discount_ms = PREFERRED_ENDPOINT_DISCOUNT_MS_PER_TOKEN * sum(
         part.tokens for part in parts[:-1]
     )
     has_reserved = any(view.reserved for view in views)
-    cross_data_centre_ms = (
-        CROSS_DATA_CENTRE_MS + CROSS_DATA_CENTRE_MS_PER_KIB * profile.body_bytes / 1024
-    )
     costs = []
     prefills_ms = []
     for index, (view, tokens) in enumerate(zip(views, cached, strict=True)):
         load = view.load
+        is_local = load.record.data_centre == profile.data_centre
+        needed_tokens = needed_locally if is_local else recently_used_tokens
         uncached = total - tokens if tokens < total else 0
         prefill_ms = load.prefill_ms(uncached, total - uncached)
         wait_ms = view.backlog_ms
         if gap_tolerant:
             wait_ms = max(wait_ms, view.debt_ms / view.load.prefill_share)
         cost_ms = wait_ms + prefill_ms + view.common_cost_ms
-        if tokens < recently_used_tokens:
-            cost_ms += REPEATED_PREFILL_MS_PER_TOKEN * (recently_used_tokens - tokens)
+        if tokens < needed_tokens:
+            cost_ms += REPEATED_PREFILL_MS_PER_TOKEN * (needed_tokens - tokens)
         if has_reserved and (gap_tolerant == view.reserved or profile.long_prompt):
             cost_ms += _interference_ms(profile, view)
         if view is preferred:
             cost_ms -= discount_ms
-        if load.record.data_centre != profile.data_centre:
+        if not is_local:
             cost_ms += cross_data_centre_ms
         costs.append((cost_ms, index))
         prefills_ms.append(prefill_ms)
--- a/tests/engine_simulation.py
+++ b/tests/engine_simulation.py
@@ -134,6 +134,7 @@
         self.late = 0
         self.refused_after_s: list[float] = []
         self.retry_after_s: list[float] = []
+        self.placed: list[SimulatedRequest] = []
 
     @property
     def cut_share(self) -> float:
@@ -173,6 +174,7 @@
         job=job, placement=placement, answer_tokens=answer_tokens
     )
     engine.add(request)
+    outcomes.placed.append(request)
     try:
         async with asyncio.timeout(job.end_s - clock()):
             await request.ended.wait()
