Let a local copy of a prompt part pay after two to three transfers

An interrupted or queued request could also be delayed by a share of its whole objective, of which little was left.

Change: 3 bytes a token; the delay is a share of the time left to the objective, and requests past it are ranked at the constant costs.

--- a/src/shallotroad/policy/data_centre_balance.py
+++ b/src/shallotroad/policy/data_centre_balance.py
@@ -46,14 +46,14 @@
 MAX_COPY_UTILISATION = 0.6
 # Engines that were cold count in the capacity gradually for this long.
 RETURN_RAMP_S = 4.0
-# A request may start later by this share of its objective in order to stay local, and
-# by at most MAX_LOCAL_DELAY_MS.
-LOCAL_DELAY_OBJECTIVE_SHARE = 0.2
+# A request may start later by this share of the time left to its objective in order to
+# stay local, and by at most MAX_LOCAL_DELAY_MS.
+LOCAL_DELAY_SHARE = 0.2
 MAX_LOCAL_DELAY_MS = 500.0
 # Bytes that a local copy of a recently used part must keep from leaving, for each token
 # of its prefill, because that takes engine time which is lost for other prompts. A
-# prompt has about a byte for each token, so a copy must save about three transfers.
-COPY_BYTES_PER_TOKEN = 4.0
+# prompt has about a byte for each token, so a copy must save two to three transfers.
+COPY_BYTES_PER_TOKEN = 3.0
 # Requests for a part are averaged over this many prefix reuse windows.
 RATE_WINDOWS = 2.0
 # Bound on the work that may leave at once after a time in which none did, and on
@@ -360,14 +360,18 @@
     ) -> LocalPreference | None:
         """Return the preference of a request; None if the constant costs decide.
 
-        They do where the condition of this module does not hold, and for the share of
-        the work that may leave.
+        They do where the condition of this module does not hold, for the share of the
+        work that may leave and for requests past their objective.
         """
         profile = request.profile
         balance = self._cells.get(request.cell)
         callers = balance and balance.callers.get(profile.data_centre)
         if not callers or callers.may_leave:
             return None
+        left_ms = (request.objective_s - now_s) * 1000.0
+        delay_ms = min(MAX_LOCAL_DELAY_MS, LOCAL_DELAY_SHARE * left_ms)
+        if delay_ms <= 0.0:
+            return None
         utilisation = callers.utilisation.get(
             not profile.gap_tolerant, max(callers.utilisation.values(), default=1.0)
         )
@@ -379,10 +383,7 @@
             )
             saved_bytes = expected_reuses(requests) * profile.body_bytes
             copy_tokens = saved_bytes / COPY_BYTES_PER_TOKEN
-        delay_ms = min(
-            MAX_LOCAL_DELAY_MS, LOCAL_DELAY_OBJECTIVE_SHARE * request.objective_ms
-        )
-        return LocalPreference(max(0.0, delay_ms), may_copy, copy_tokens)
+        return LocalPreference(delay_ms, may_copy, copy_tokens)
 
     def record_placement(
         self,
--- a/tests/unit/policy/test_data_centre_balance.py
+++ b/tests/unit/policy/test_data_centre_balance.py
@@ -53,6 +53,11 @@
     return job.placement_request(NOW_S)
 
 
+def request_at(now_s: float) -> PlacementRequest:
+    request = make_placement_request()
+    return request._replace(arrival_s=now_s, objective_s=now_s + 2.5)
+
+
 def play(
     balance: DataCentreBalance,
     loads: Sequence[EndpointLoad],
@@ -117,11 +122,24 @@
     assert balance.preference(request, NOW_S) is None
     now_s = play(balance, loads, work=0.1)
     assert share(balance) == 0.0
-    preference = balance.preference(request, now_s)
+    preference = balance.preference(request_at(now_s), now_s)
     assert preference is not None
     assert preference.remote_ms == 500.0
 
 
+def test_a_request_near_its_objective_is_not_kept_local() -> None:
+    """Guards against interrupted and queued streams that are delayed further."""
+    balance = DataCentreBalance(prefix_reuse_s=10.0)
+    loads = [make_load("e1"), make_load("e2", data_centre="b")]
+    now_s = play(balance, loads, work=0.1)
+    request = request_at(now_s)
+    preference = balance.preference(request._replace(objective_s=now_s + 0.25), now_s)
+    assert preference is not None
+    assert preference.remote_ms == pytest.approx(50.0)
+    late = request._replace(objective_s=now_s - 0.1)
+    assert balance.preference(late, now_s) is None
+
+
 def test_the_share_follows_its_target_with_the_stated_damping() -> None:
     """Guards against jumps that load waves would turn into oscillations."""
     callers = CallersBalance(now_s=NOW_S)
@@ -155,14 +173,17 @@
     balance = DataCentreBalance(prefix_reuse_s=10.0)
     loads = [make_load("e1"), make_load("e2")]
     now_s = play(balance, loads, work=0.1)
-    assert balance.preference(make_placement_request(), now_s) is None
+    assert balance.preference(request_at(now_s), now_s) is None
 
 
 def test_callers_without_engines_in_their_data_centre_have_no_preference() -> None:
     balance = DataCentreBalance(prefix_reuse_s=10.0)
     loads = [make_load("e1"), make_load("e2", data_centre="b")]
     now_s = play(balance, loads, work=0.1)
-    assert balance.preference(make_placement_request("c"), now_s) is None
+    elsewhere = request_at(now_s)
+    profile = elsewhere.profile._replace(data_centre="c")
+    elsewhere = elsewhere._replace(profile=profile)
+    assert balance.preference(elsewhere, now_s) is None
 
 
 def test_a_closed_data_centre_returns_gradually() -> None:
@@ -216,11 +237,11 @@
     balance = DataCentreBalance(prefix_reuse_s=10.0)
     loads = [make_load("e1"), make_load("e2", data_centre="b")]
     now_s = play(balance, loads, work=0.1)
-    preference = balance.preference(make_placement_request(), now_s)
+    preference = balance.preference(request_at(now_s), now_s)
     assert preference is not None
     assert preference.copy_tokens > SHARED.tokens
     later_s = now_s + 80.0
-    preference = balance.preference(make_placement_request(), later_s)
+    preference = balance.preference(request_at(later_s), later_s)
     assert preference is not None
     assert 0.0 < preference.copy_tokens < SHARED.tokens
 
