--- a/src/shallotroad/policy/data_centre_balance.py
+++ b/src/shallotroad/policy/data_centre_balance.py
@@ -21,7 +21,6 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from shallotroad.policy.endpoint_load import GAP_SENSITIVE_MS_PER_TOKEN
 from shallotroad.policy.endpoint_load import WORK_HALF_LIFE_S
 
 
@@ -165,11 +164,6 @@
     return math.expm1(min(20.0, requests_per_window))
 
 
-def engine_work_ms(prefill_ms: float, gap_sensitive_tokens: int) -> float:
-    """Return the engine time of a request, as ``EndpointLoad`` counts it."""
-    return prefill_ms + GAP_SENSITIVE_MS_PER_TOKEN * gap_sensitive_tokens
-
-
 class PartRequests:
     """How often the callers of each data centre request each prompt part.
 
@@ -405,7 +399,7 @@
         callers = balance.callers.get(profile.data_centre)
         if callers is None:
             return
-        work_ms = engine_work_ms(prefill_ms, request.gap_sensitive_tokens)
+        work_ms = prefill_ms + load.decode_work_ms(request.gap_sensitive_tokens)
         callers.record(work_ms, now_s, remote=remote)
         if len(profile.parts) > 1:
             self._part_requests.record(
--- a/tests/data_centre_simulation.py
+++ b/tests/data_centre_simulation.py
@@ -203,7 +203,7 @@
         return [
             request
             for each, outcomes in self.outcomes.items()
-            for request in outcomes.placed
+            for request in outcomes.requests
             if kind in (None, each)
             and request.placed_s >= since_s
             and data_centre in ("", request.job.profile.data_centre)
