--- a/src/shallotroad/policy/endpoint_load.py
+++ b/src/shallotroad/policy/endpoint_load.py
@@ -238,8 +238,7 @@
         self.running += 1
         self.awaiting_first_event += 1
         if gap_sensitive_tokens:
-            step_ms = GAP_SENSITIVE_STEPS_PER_TOKEN * self.model.decode_step_ms
-            work_ms = prefill_ms + step_ms * gap_sensitive_tokens
+            work_ms = prefill_ms + self.decode_work_ms(gap_sensitive_tokens)
             self._record_work(now_s, gap_sensitive_ms=work_ms, other_ms=0.0)
         else:
             self._record_work(now_s, gap_sensitive_ms=0.0, other_ms=prefill_ms)
@@ -249,6 +248,10 @@
         self._first_events_due_s.append(due_s)
         return due_s
 
+    def decode_work_ms(self, tokens: int) -> float:
+        """Return the engine time that the decode of so many tokens adds."""
+        return GAP_SENSITIVE_STEPS_PER_TOKEN * self.model.decode_step_ms * tokens
+
     def record_first_event(self, due_s: float, now_s: float) -> None:
         """Record the first event of a request.
 
