--- a/devtools/bench/usage.py
+++ b/devtools/bench/usage.py
@@ -30,6 +30,24 @@
     return Usage(ticks / TICKS_PER_S, int(statm[1]) * PAGE_BYTES)
 
 
+def read_peak_memory_bytes(pid: int) -> int:
+    """Return the largest resident memory that a process has had.
+
+    Raises ``FileNotFoundError`` if there is no such process.
+    """
+    status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    fields = dict(line.split(":", 1) for line in status.splitlines())
+    return int(fields["VmHWM"].split()[0]) * 1024
+
+
+def count_descriptors(pid: int) -> int:
+    """Return the number of open descriptors of a process; 0 if there is none."""
+    try:
+        return sum(1 for _ in Path(f"/proc/{pid}/fd").iterdir())
+    except OSError:
+        return 0
+
+
 def read_loopback_bytes() -> int:
     """Return the bytes that the loopback interface has received since the boot.
 
--- a/devtools/gateway_harness.py
+++ b/devtools/gateway_harness.py
@@ -117,7 +117,14 @@
         )
         self.store.put("op/config", document)
 
-    def _settings(self, name: str, ports: dict[str, int], seeds: list[int]) -> Path:
+    def _settings(
+        self,
+        name: str,
+        ports: dict[str, int],
+        seeds: list[int],
+        limits: Mapping[str, int],
+    ) -> Path:
+        limit_lines = [f"{key} = {value}\n" for key, value in limits.items()]
         path = self._folder / f"{name}.toml"
         proxy = self.proxies.get(name)
         store_port = proxy.port if proxy is not None else self.store.port
@@ -130,6 +137,7 @@
             f'ready = "{HOST}:{ports["ready"]}"\n'
             f'control = "{HOST}:{ports["control"]}"\n'
             f'[provider]\naddress = "{HOST}:{store_port}"\n'
+            f"[limits]\n{''.join(limit_lines)}"
             "[bounds]\ngrace-s = 6\n"
         )
         return path
@@ -143,16 +151,22 @@
         new_path.replace(path)
 
     async def start(
-        self, name: str = "g1", seeds: list[int] | None = None, *, wait: bool = True
+        self,
+        name: str = "g1",
+        seeds: list[int] | None = None,
+        *,
+        wait: bool = True,
+        limits: Mapping[str, int] | None = None,
     ) -> None:
         """Start a gateway; one that ran before gets the same ports.
 
-        ``seeds`` are the control ports of other gateways.
+        ``seeds`` are the control ports of other gateways, ``limits`` those of the
+        process by the names of the settings file.
         """
         ports = self.ports.get(name) or {
             kind: free_port() for kind in ("front", "ready", "control", "udp")
         }
-        path = self._settings(name, ports, seeds or [])
+        path = self._settings(name, ports, seeds or [], limits or {})
         log = (self._folder / f"{name}.log").open("ab")
         self.processes[name] = await asyncio.create_subprocess_exec(
             sys.executable,
--- a/devtools/run_tests.py
+++ b/devtools/run_tests.py
@@ -10,6 +10,9 @@
 
 
 KNOWN_RED = Path("KNOWN-RED.txt")
+# Tests with this marker measure a whole process, so they run one at a time after all
+# other tests.
+ALONE_MARKER = "alone"
 
 
 class KnownFailure(NamedTuple):
@@ -35,7 +38,7 @@
 
     def pytest_collectreport(self, report: pytest.CollectReport) -> None:
         """Record a file that could not be collected as failed."""
-        if report.failed:
+        if report.failed and report.nodeid not in self.failed:
             self.failed.append(report.nodeid)
 
 
@@ -52,10 +55,25 @@
     return entries
 
 
+def run_phases(arguments: list[str], collector: OutcomeCollector) -> bool:
+    """Run the ordinary tests, then those that run alone; return whether both ran.
+
+    Failed tests do not count against that. One phase may have no tests, but not both.
+    """
+    phases = (
+        [*arguments, "-m", f"not {ALONE_MARKER}"],
+        [*arguments, "-m", ALONE_MARKER, "-n", "0"],
+    )
+    codes = [pytest.main(phase, plugins=[collector]) for phase in phases]
+    ran = [code for code in codes if code != pytest.ExitCode.NO_TESTS_COLLECTED]
+    accepted = (pytest.ExitCode.OK, pytest.ExitCode.TESTS_FAILED)
+    return bool(ran) and all(code in accepted for code in ran)
+
+
 def main(arguments: list[str]) -> int:
     """Run pytest and return 0 unless an unlisted test failed."""
     collector = OutcomeCollector()
-    code = pytest.main(arguments, plugins=[collector])
+    all_ran = run_phases(arguments, collector)
     known = {entry.test: entry.line for entry in read_known_red()}
     for test in collector.failed:
         if test in known:
@@ -67,7 +85,7 @@
     for test in unlisted:
         print(f"FAILED and not listed: {test}")
     known_red_count = len(collector.failed) - len(unlisted)
-    if unlisted or code not in (pytest.ExitCode.OK, pytest.ExitCode.TESTS_FAILED):
+    if unlisted or not all_ran:
         return 1
     print(f"{collector.passed} passed, {known_red_count} known red")
     return 0
