Bound the memory and connections of callers by one account for a process

Cause: every buffer of a connection had a bound, but not their sum, and some bounds came late: heads were checked when they were whole, bodies over the limit were read on, one read could cause 43,000 parser callbacks, a served request kept its body until the next one.

Change: http_server/memory_account.py counts what each connection holds. Large bodies need room before they are read on and wait in the order of tiers otherwise; senders without progress are closed while there is contention; bodies that wait too long and requests over the limit are refused with 503 and Retry-After, the largest first. Forwarded requests are kept. Input is read 32 KiB and parsed 4 KiB at a time, connections take turns. Bodies are joined in one buffer and passed on without a copy. Heads over max-header-bytes are refused while they arrive, bodies over the limit when announced, empty lines after 1 KiB. Callers' connections are bounded by max-fds.

--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -36,9 +36,11 @@
 from shallotroad.gateway.store_relay import StoreFollower
 from shallotroad.gateway.store_relay import StoreRelay
 from shallotroad.gateway.store_watcher import StoreWatcher
+from shallotroad.http_server.memory_account import MemoryAccount
 from shallotroad.http_server.server import HttpServer
 from shallotroad.observability.event_log import flush_periodically
 from shallotroad.observability.event_log import log_event
+from shallotroad.platform.allocator import return_large_blocks
 from shallotroad.platform.store import StoreClient
 from shallotroad.policy.crash_correlation import CrashCorrelation
 from shallotroad.policy.endpoint_rate import make_cold_start_limiter
@@ -246,6 +248,9 @@
         engine_model=engine_models.model,
         metrics=metrics,
         clock=clock,
+        account=MemoryAccount.for_process(
+            memory_mb=settings.memory_mb, descriptors=settings.descriptors
+        ),
     )
     store_relay = StoreRelay(store_watcher=store_watcher, clock=clock)
     store_follower = StoreFollower(
@@ -319,6 +324,7 @@
     reload_callbacks : set of callables
         Receives the callback that the reload signal calls.
     """
+    return_large_blocks()
     components = build(settings)
     status_handler = make_status_handler(components)
     reloader = Reloader(components=components)
@@ -326,6 +332,9 @@
     caller_server = HttpServer(
         handler=components.frontend.handle,
         timeouts=components.frontend.caller_timeouts,
+        limits=components.frontend.request_limits,
+        tier_of=components.frontend.tier_of,
+        account=components.frontend.account,
         on_unanswered=components.frontend.record_unanswered,
     )
     listeners = [
--- a/src/shallotroad/gateway/http_frontend.py
+++ b/src/shallotroad/gateway/http_frontend.py
@@ -21,8 +21,16 @@
 from shallotroad.http_server.connection import CALLER_STOPPED_SENDING
 from shallotroad.http_server.connection import ResponseStream
 from shallotroad.http_server.exceptions import BodyTooLargeError
+from shallotroad.http_server.exceptions import RequestShedError
+from shallotroad.http_server.memory_account import LIMIT_REACHED
+from shallotroad.http_server.memory_account import RETRY_AFTER_S
+from shallotroad.http_server.memory_account import MemoryAccount
 from shallotroad.http_server.message import Response
+from shallotroad.http_server.server import DEFAULT_DESCRIPTORS
+from shallotroad.http_server.server import DEFAULT_LIMITS
+from shallotroad.http_server.server import DEFAULT_MEMORY_MB
 from shallotroad.http_server.server import DEFAULT_TIMEOUTS
+from shallotroad.http_server.server import RequestLimits
 from shallotroad.http_server.server import Timeouts
 from shallotroad.observability.event_log import log_event
 from shallotroad.platform.headers import decode_request
@@ -51,6 +59,10 @@
 # Added to the configured timeouts of callers, because a lost packet that is sent again
 # arrives late through no fault of the caller.
 CALLER_TIMEOUT_SLACK_S = 1.0
+# Tier of requests that give way first: they match no route or have no known key.
+UNKNOWN_TIER = 9
+# Each reason for which callers are limited is logged at most once in this time.
+LIMIT_LOG_INTERVAL_S = 1.0
 
 
 class CallerStream:
@@ -118,8 +130,15 @@
         engine_model: Callable[[str], EngineModel],
         metrics: GatewayMetrics,
         clock: Callable[[], float],
+        account: MemoryAccount | None = None,
     ) -> None:
         self._engine_model = engine_model
+        self.account = account or MemoryAccount.for_process(
+            memory_mb=DEFAULT_MEMORY_MB, descriptors=DEFAULT_DESCRIPTORS
+        )
+        self.account.on_closed = self._record_closed
+        self.account.on_refused = self._record_refused
+        self._limit_log_s: dict[str, float] = {}
         self._catalog = catalog
         self._forwarder = forwarder
         self._data_centre = data_centre
@@ -141,6 +160,56 @@
             idle_s=limits.idle_timeout_ms / 1000 + CALLER_TIMEOUT_SLACK_S,
         )
 
+    def request_limits(self) -> RequestLimits:
+        """Return the limits of callers' requests that the configuration sets."""
+        configuration = self._catalog.configuration
+        if configuration is None:
+            return DEFAULT_LIMITS
+        limits = configuration.limits
+        return RequestLimits(limits.header_bytes, limits.body_bytes)
+
+    def tier_of(self, request: ServerRequest) -> int:
+        """Return the tier of a request that may not have been read whole."""
+        configuration = self._catalog.configuration
+        if configuration is None:
+            return UNKNOWN_TIER
+        decoded = decode_request(request.method, request.target, request.headers)
+        route = configuration.match_route(
+            decoded.host, decoded.target.partition("?")[0]
+        )
+        if route is None:
+            return UNKNOWN_TIER
+        team = configuration.team_for_key(decoded.api_key)
+        if team is None and configuration.requires_keys and not route.public:
+            return UNKNOWN_TIER
+        if team is None or team.tier is None:
+            return route.tier
+        return team.tier
+
+    def _record_closed(self, reason: str) -> None:
+        """Count and log a connection that was closed to keep a limit."""
+        self._metrics.limit_closes.inc({"reason": reason})
+        self._log_limit("caller connection closed", reason)
+
+    def _record_refused(self, reason: str) -> None:
+        """Count and log a request that was refused to keep a limit."""
+        self._metrics.limit_refusals.inc({"reason": reason})
+        self._log_limit("caller request shed", reason)
+
+    def _log_limit(self, event: str, reason: str) -> None:
+        now_s = self._clock()
+        key = event + reason
+        if now_s - self._limit_log_s.get(key, -math.inf) < LIMIT_LOG_INTERVAL_S:
+            return
+        self._limit_log_s[key] = now_s
+        log_event(
+            event,
+            why=reason,
+            held_bytes=self.account.held_bytes,
+            limit_bytes=self.account.max_bytes,
+            connections=self.account.connections,
+        )
+
     def record_unanswered(self, count: int, reason: str) -> None:
         """Count and log requests whose connection ended without a response to them."""
         self._metrics.unanswered.add({"reason": reason}, count)
@@ -216,7 +285,10 @@
             return BrokenStreamError(request.interruption)
         if job is not None and job.possible_runs:
             return OutcomeUnknownError(request.interruption, status=502)
-        return RefusedError(request.interruption, retry_after_s=0.0)
+        gives_way = request.interruption == LIMIT_REACHED
+        return RefusedError(
+            request.interruption, retry_after_s=RETRY_AFTER_S if gives_way else 0.0
+        )
 
     def _log_finished(
         self,
@@ -304,7 +376,10 @@
         head_bytes = sum(len(name) + len(value) for name, value in request.headers)
         if head_bytes > configuration.limits.header_bytes:
             raise RejectedError("headers are too large", status=431)
-        if decoded.expects_continue:
+        announced_bytes = request.announced_bytes or 0
+        if decoded.expects_continue and (
+            announced_bytes <= configuration.limits.body_bytes
+        ):
             request.send_continue()
         body = await self._read_body(
             request, decoded.deadline_ms, configuration.limits.body_bytes
@@ -336,6 +411,7 @@
             min_event_gap_limit_ms=configuration.min_event_gap_limit_ms(service.name),
             engine_model=self._engine_model(service.name),
         )
+        request.can_refuse = lambda: not job.attempts
         if not route.repeatable and job.expected_end_s() > cut_off_s:
             raise RefusedError("too late before the stop", retry_after_s=0.0)
         return job
@@ -371,6 +447,8 @@
         RejectedError
             When it is larger than ``max_bytes``, status 413, or not complete by the
             caller's deadline, status 408.
+        RefusedError
+            When it has to give way to keep the limits of the process.
         """
         timeout_s = deadline_ms / 1000 if deadline_ms else BODY_TIMEOUT_S
         try:
@@ -378,6 +456,8 @@
                 return await request.read_body(max_bytes)
         except BodyTooLargeError as error:
             raise RejectedError(str(error), status=413) from error
+        except RequestShedError as error:
+            raise RefusedError(str(error), retry_after_s=RETRY_AFTER_S) from error
         except TimeoutError:
             raise RejectedError(
                 f"the body is not complete after {timeout_s:.1f} s", status=408
--- a/src/shallotroad/gateway/metrics.py
+++ b/src/shallotroad/gateway/metrics.py
@@ -49,6 +49,9 @@
         exception).
     unanswered : Counter
         Requests whose connection ended without a response to them, by ``reason``.
+    limit_closes, limit_refusals : Counter
+        Connections closed, and requests refused, to keep the limits of the process, by
+        ``reason``.
     attempts : Counter
         Attempts by ``end``: "answered", "not run" or "unknown".
     endpoint_losses : Counter
@@ -82,6 +85,16 @@
             "Requests whose connection ended without a response to them",
             registry=self.registry,
         )
+        self.limit_closes = Counter(
+            "shallotroad_caller_connections_closed_total",
+            "Callers' connections closed to keep a limit, by reason",
+            registry=self.registry,
+        )
+        self.limit_refusals = Counter(
+            "shallotroad_caller_requests_shed_total",
+            "Callers' requests refused to keep the memory limit, by reason",
+            registry=self.registry,
+        )
         self.attempts = Counter(
             "shallotroad_attempts_total",
             "Attempts at endpoints by end",
@@ -141,6 +154,10 @@
             "datagrams_sent": components.coordination_protocol.datagrams_sent,
             "datagrams_received": components.coordination_protocol.datagrams_received,
             "open_requests": components.frontend.open_requests,
+            "caller_connections": components.frontend.account.connections,
+            "caller_bytes": components.frontend.account.held_bytes,
+            "caller_bytes_limit": components.frontend.account.max_bytes,
+            "caller_bodies_waiting": components.frontend.account.waiting_bodies,
             "connections_opened": components.endpoint_registry.opened_connections(),
             "live_entries": len(components.membership.live_names(components.clock())),
             "log_lines_dropped": LOG_BUFFER.dropped_total,
--- a/src/shallotroad/http_server/connection.py
+++ b/src/shallotroad/http_server/connection.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import fcntl
+import io
 import sys
 import termios
 from collections import deque
@@ -20,12 +21,23 @@
 
 from shallotroad.http_server.exceptions import BodyTooLargeError
 from shallotroad.http_server.exceptions import IncompleteBodyError
+from shallotroad.http_server.exceptions import RequestShedError
+from shallotroad.http_server.memory_account import BODY_TOO_LARGE
+from shallotroad.http_server.memory_account import EMPTY_LINES
+from shallotroad.http_server.memory_account import HEAD_TOO_LARGE
+from shallotroad.http_server.memory_account import MIN_PROGRESS_BYTES
+from shallotroad.http_server.memory_account import RETRY_AFTER_S
+from shallotroad.http_server.memory_account import SMALL_BODY_BYTES
+from shallotroad.http_server.memory_account import STALL_S
+from shallotroad.http_server.memory_account import Usage
 from shallotroad.http_server.message import Response
 from shallotroad.http_server.message import encode_head
 from shallotroad.http_server.message import encode_response
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from shallotroad.http_server.message import HeaderPairs
     from shallotroad.http_server.server import HttpServer
 
@@ -36,9 +48,33 @@
 MAX_WAITING_REQUESTS = 8
 # A head, or chunk framing without body bytes, that is longer ends the connection.
 MAX_UNPARSED_BYTES = 131_072
+# Input is read in parts of at most this size, so that held-back input stays small.
+READ_BYTES = 32_768
+# Input is parsed in parts of at most this size, between which the limits are checked.
+PARSED_BYTES = 4_096
+# Callbacks of the parser after which other connections get their turn; a body in chunks
+# of one byte causes one for every six bytes. About 0.3 ms.
+MAX_TURN_CALLBACKS = 512
+# Empty lines before a request, which the parser skips; clients send one at most.
+MAX_EMPTY_LINE_BYTES = 1_024
+# Input that is read and dropped after the last response is decided. Reading stops then,
+# and the caller receives the response once it stops sending.
+MAX_DROPPED_BYTES = 262_144
+# Memory of an open connection: transport, parser, task, timer.
+CONNECTION_BYTES = 16_384
+# Memory of a request besides its headers and body: objects here and in the handler.
+REQUEST_BYTES = 4_096
+# Memory of a header line besides its text: a pair, two byte strings, their references.
+HEADER_LINE_BYTES = 176
+# A head that is being served is held twice, as it arrived and decoded.
+HEAD_COPIES = 2
+# What the handler holds of a response that the caller reads too slowly.
+UNREAD_RESPONSE_BYTES = 327_680
 # After an early response, the rest of a body is read and dropped for this long. Closing
 # with unread bytes would reset the connection and could destroy the response.
 LINGER_S = 1.0
+# Input of all connections is read into this buffer and parsed or copied at once.
+READ_BUFFER = memoryview(bytearray(READ_BYTES))
 # Before an idle connection is closed, input that has arrived is read for this long.
 IDLE_CLOSE_DELAY_S = 0.01
 HTTP_1_0 = "1.0"
@@ -58,6 +94,11 @@
     interruption : str
         Why the handler is cancelled, or called at all, only to give a last response;
         empty otherwise. The caller can still receive that response.
+    shed_reason : str
+        Why the request has to give way before it is read whole; empty otherwise.
+    can_refuse : callable
+        Returns whether the request, though whole, may still be refused as not run. The
+        handler sets it.
     """
 
     def __init__(
@@ -69,6 +110,7 @@
         headers: HeaderPairs,
         keeps_alive: bool,
         chunked_allowed: bool,
+        head_bytes: int,
     ) -> None:
         self.connection = connection
         self.method = method
@@ -78,8 +120,15 @@
         self.chunked_allowed = chunked_allowed
         self.body_complete = False
         self.interruption = ""
-        self._chunks: deque[bytes] = deque()
-        self._buffered_bytes = 0
+        self.shed_reason = ""
+        self.can_refuse: Callable[[], bool] = lambda: False
+        self.head_bytes = head_bytes
+        self.body_bytes = 0
+        self.tier: int | None = None
+        self.announced_bytes = self._announced_bytes()
+        self._body: io.BytesIO | None = None
+        self._read_bytes = 0
+        self._drops_body = False
         self._arrived = asyncio.Event()
 
     @property
@@ -96,16 +145,44 @@
         """Tell a caller that waits for it to send the body."""
         self.connection.write_now(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def _announced_bytes(self) -> int | None:
+        for name, value in self.headers:
+            if name.lower() == b"content-length" and value.strip().isdigit():
+                return int(value)
+        return None
+
     def add_body(self, data: bytes) -> None:
         """Add received bytes of the body."""
-        self._chunks.append(data)
-        self._buffered_bytes += len(data)
+        if self._drops_body:
+            return
+        # A buffer, as many small chunks would each be an object of their own.
+        if self._body is None:
+            self._body = io.BytesIO()
+        self._body.write(data)
+        self.body_bytes += len(data)
         self._arrived.set()
 
     @property
     def buffered_bytes(self) -> int:
         """Bytes of the body that have not been read."""
-        return self._buffered_bytes
+        return self.body_bytes - self._read_bytes
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the request takes."""
+        return REQUEST_BYTES + HEAD_COPIES * self.head_bytes + self.body_bytes
+
+    def drop_body(self) -> None:
+        """Drop the body, and all of it that still arrives."""
+        self._drops_body = True
+        self._body = None
+        self.body_bytes = self._read_bytes = 0
+
+    def shed(self, reason: str) -> None:
+        """Drop the body and let its reader give up."""
+        self.shed_reason = reason
+        self.drop_body()
+        self._arrived.set()
 
     def wake(self) -> None:
         """Let the reader of the body see that it is complete or the caller has left."""
@@ -117,22 +194,26 @@
         Raises
         ------
         BodyTooLargeError
-            When it is larger than ``max_bytes``; the rest is not read.
+            When it is, or is announced to be, larger than ``max_bytes``; the rest is
+            not read.
         IncompleteBodyError
             When the connection ends before the body does.
+        RequestShedError
+            When the request has to give way.
         """
-        parts: list[bytes] = []
-        size_bytes = 0
         while True:
-            while self._chunks:
-                chunk = self._chunks.popleft()
-                self._buffered_bytes -= len(chunk)
-                size_bytes += len(chunk)
-                if size_bytes > max_bytes:
-                    raise BodyTooLargeError(f"the body exceeds {max_bytes} bytes")
-                parts.append(chunk)
+            if self.shed_reason:
+                raise RequestShedError(self.shed_reason)
+            self._read_bytes = self.body_bytes
+            if max(self.body_bytes, self.announced_bytes or 0) > max_bytes:
+                self.drop_body()
+                if not self.body_complete:
+                    self.connection.drop_rest_of_body()
+                raise BodyTooLargeError(f"the body exceeds {max_bytes} bytes")
             if self.body_complete:
-                return b"".join(parts)
+                body, self._body = self._body, None
+                # The value is that of the buffer, not a copy.
+                return body.getvalue() if body is not None else b""
             if not self.connected:
                 raise IncompleteBodyError("the connection ended within the body")
             self._arrived.clear()
@@ -206,7 +287,7 @@
             self._request.connection.abort()
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """Parses the requests of one connection and serves them one by one.
 
     A connection ends in three steps: ``closes_when_served`` asks for it, the response
@@ -220,6 +301,10 @@
     closes_when_served : bool
         Whether the connection is closed once all requests are served that have
         arrived, or begun to arrive.
+    served_requests : int
+        Number of requests that were served.
+    unused_since_s : float
+        Time of the event loop since which no request was served.
     """
 
     def __init__(self, *, server: HttpServer) -> None:
@@ -239,6 +324,28 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._unparsed_bytes = 0
         self._reading_paused = False
+        self._transport_paused = False
+        # Input that is read but not parsed yet.
+        self._held_input = b""
+        self._parse_queued = False
+        self._callbacks = 0
+        # Bytes that were parsed since the last callback, and the cost of the headers.
+        self._silent_bytes = 0
+        self._header_text_bytes = 0
+        self._header_lines = 0
+        # Body size up to which there is room for the body that is being received.
+        self._room_limit_bytes = SMALL_BODY_BYTES
+        self._waits_for_room = False
+        self._usage = Usage(0, 0)
+        self._closed_for_limit = False
+        self._dropped_bytes = 0
+        self._received_bytes = 0
+        self._progress_mark = 0
+        self._progress_s: float | None = None
+        self._pending_headers: HeaderPairs = ()
+        self.served_requests = 0
+        self.unused_since_s = self._loop.time()
+        self._written_bytes = 0
         self._discards_input = False
         self._in_message = False
         self._handler_runs = False
@@ -255,6 +362,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that serves the connection."""
         self._transport = cast("asyncio.Transport", transport)
+        if not self._server.account.add(self):
+            self._closed_for_limit = True
+            self.abort("too many connections")
+            return
         self._server.connections.add(self)
         self._set_timer(self._server.timeouts().idle_s)
         self._task = self._loop.create_task(self._serve_requests())
@@ -262,6 +373,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request that is being served, if any."""
         self._transport = None
+        self._held_input = b""
+        self._server.account.remove(self)
         self._server.connections.discard(self)
         self._cancel_timer()
         self._writable.set()
@@ -294,12 +407,63 @@
         """Let writes continue."""
         self._writable.set()
 
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes; respond with an error to what is not a request."""
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer into which input is read."""
+        return READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take the input that was read."""
+        self.data_received(READ_BUFFER[:nbytes])
+
+    def data_received(self, data: memoryview | bytes) -> None:
+        """Parse received bytes; respond with an error to what is not a request.
+
+        What is not parsed at once is kept, and nothing is read meanwhile.
+        """
+        self._received_bytes += len(data)
         if self._discards_input:
+            self._dropped_bytes += len(data)
+            self._update_reading()
+            return
+        self._parse(memoryview(data))
+        self._settle()
+
+    def parse_held_input(self) -> None:
+        """Continue with input that was kept, when it is the turn of this connection."""
+        self._parse_queued = False
+        if self._transport is None or self._reading_paused or self._waits_for_room:
             return
+        held_input, self._held_input = self._held_input, b""
+        if held_input and not self._discards_input:
+            self._parse(memoryview(held_input))
+        self._settle()
+
+    def _parse(self, data: memoryview) -> None:
+        """Parse input until other connections get their turn, or reading pauses."""
         was_idle = self.idle
+        self._callbacks = 0
+        position = 0
+        while position < len(data):
+            part = data[position : position + PARSED_BYTES]
+            position += len(part)
+            self._feed(part)
+            if self._discards_input:
+                return
+            self._pause_for_limits()
+            if (
+                self._reading_paused
+                or self._waits_for_room
+                or self._callbacks > MAX_TURN_CALLBACKS
+            ):
+                break
+        if was_idle and self._in_message and not self._requests:
+            self._set_timer(self._server.timeouts().head_s)
+        self._held_input = bytes(data[position:])
+
+    def _feed(self, data: memoryview) -> None:
+        """Let the parser have a part of the input, and check the limits of framing."""
         self._unparsed_bytes += len(data)
+        self._silent_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -310,38 +474,125 @@
         except httptools.HttpParserError:
             self._reject(400)
             return
-        if self._unparsed_bytes > MAX_UNPARSED_BYTES:
+        if self._unparsed_bytes > MAX_UNPARSED_BYTES or self._head_too_large:
+            self._server.account.on_closed(HEAD_TOO_LARGE)
             self._reject(431)
-            return
-        if was_idle and self._in_message and not self._requests:
-            self._set_timer(self._server.timeouts().head_s)
-        buffered_bytes = self._receiving.buffered_bytes if self._receiving else 0
+        elif not self._in_message and self._silent_bytes > MAX_EMPTY_LINE_BYTES:
+            self._server.account.on_closed(EMPTY_LINES)
+            self._reject(400)
+
+    @property
+    def _head_too_large(self) -> bool:
+        """Whether the head that arrives is over the limit, its last line included."""
+        if not self._in_message or self._receiving is not None:
+            return False
+        arrived_bytes = self._header_text_bytes + self._silent_bytes
+        return arrived_bytes > self._server.limits().head_bytes + PARSED_BYTES
+
+    def _pause_for_limits(self) -> None:
+        """Pause reading while too much waits to be served or read."""
+        receiving = self._receiving
+        buffered_bytes = receiving.buffered_bytes if receiving else 0
         # Each request that is read has to be served before the connection is closed.
         max_waiting = 0 if self.closes_when_served else MAX_WAITING_REQUESTS
         waiting = len(self._requests) - int(self._current is None)
         if waiting > max_waiting or buffered_bytes > MAX_BUFFERED_BYTES:
             self._pause_reading()
+        if receiving is not None and receiving.body_bytes > self._room_limit_bytes:
+            self._request_room(receiving)
+
+    def _request_room(self, receiving: ServerRequest) -> None:
+        """Ask for room for the rest of a large body, and wait if there is none."""
+        limit_bytes = self._server.limits().body_bytes
+        expected_bytes = min(
+            limit_bytes
+            if receiving.announced_bytes is None
+            else (receiving.announced_bytes),
+            limit_bytes,
+        )
+        if receiving is not self._current:
+            # It is not read further than this until it is served.
+            expected_bytes = min(expected_bytes, MAX_BUFFERED_BYTES + READ_BYTES)
+        needed_bytes = expected_bytes - receiving.body_bytes
+        if needed_bytes <= 0:
+            return  # Its handler refuses a body that is larger than expected.
+        self._settle()
+        if self._receiving is not receiving or self._discards_input:
+            return
+        self._waits_for_room = True
+        if self._server.account.request_room(self, needed_bytes):
+            self._waits_for_room = False
+            self._room_limit_bytes = expected_bytes
+
+    def room_given(self, needed_bytes: int) -> None:
+        """Continue to read a body that waited for room."""
+        self._waits_for_room = False
+        if self._receiving is not None:
+            self._room_limit_bytes = self._receiving.body_bytes + needed_bytes
+        self._settle()
+
+    def _settle(self) -> None:
+        """Report what the connection holds, and read on unless something forbids it."""
+        if self._transport is None or self._closed_for_limit:
+            return
+        self._update_reading()
+        held_bytes = CONNECTION_BYTES + len(self._held_input) + self._unsent_bytes
+        if self._in_message and self._receiving is None:
+            held_bytes += self._arriving_head_bytes + self._silent_bytes
+        if not self._writable.is_set():
+            held_bytes += UNREAD_RESPONSE_BYTES
+        for request in self._requests:
+            held_bytes += request.held_bytes
+        if self._current is not None:
+            held_bytes += self._current.held_bytes
+        room_bytes = 0
+        if self._receiving is not None and self._room_limit_bytes > SMALL_BODY_BYTES:
+            room_bytes = max(0, self._room_limit_bytes - self._receiving.body_bytes)
+        if self._discards_input:
+            room_bytes = 0
+        usage = Usage(held_bytes, room_bytes)
+        if usage != self._usage:
+            self._usage = usage
+            self._server.account.update(self, usage)
+
+    @property
+    def _arriving_head_bytes(self) -> int:
+        """Memory of the head that is being received."""
+        lines_bytes = HEADER_LINE_BYTES * self._header_lines
+        return lines_bytes + self._header_text_bytes + len(self._target)
 
     # Parser callbacks
 
     def on_message_begin(self) -> None:
         """Start a request."""
+        self._callbacks += 1
+        self._silent_bytes = 0
+        self._header_text_bytes = 0
+        self._header_lines = 0
         self._in_message = True
         self._target = b""
         self._headers = []
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the target."""
+        self._silent_bytes = 0
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; those after the body are ignored."""
+        self._callbacks += 1
         if self._receiving is None:
+            self._silent_bytes = 0
+            self._header_text_bytes += len(name) + len(value)
+            self._header_lines += 1
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Queue the request, whose body may still follow."""
+        self._callbacks += 1
         self._unparsed_bytes = 0
+        self._silent_bytes = 0
+        self._room_limit_bytes = SMALL_BODY_BYTES
         request = ServerRequest(
             connection=self,
             method=self._parser.get_method().decode("latin-1"),
@@ -349,7 +600,9 @@
             headers=tuple(self._headers),
             keeps_alive=self._parser.should_keep_alive(),
             chunked_allowed=self._parser.get_http_version() != HTTP_1_0,
+            head_bytes=self._arriving_head_bytes,
         )
+        self._headers = []
         self._receiving = request
         self._requests.append(request)
         self._cancel_timer()
@@ -357,6 +610,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
+        self._callbacks += 1
         self._unparsed_bytes = 0
         if self._receiving is not None:
             self._receiving.add_body(body)
@@ -364,6 +618,7 @@
     def on_message_complete(self) -> None:
         """Complete the body of the request."""
         self._unparsed_bytes = 0
+        self._silent_bytes = 0
         self._in_message = False
         if self._receiving is not None:
             self._receiving.body_complete = True
@@ -385,8 +640,106 @@
             and not self._requests
             and not self._in_message
             and self._pending_rejection is None
+            and not self._held_input
+        )
+
+    @property
+    def unused(self) -> bool:
+        """Whether no request has arrived whole that is not served yet."""
+        return self._current is None and not self._requests
+
+    @property
+    def tier(self) -> int:
+        """Tier of the request that may have to give way; 0, the highest, if unknown."""
+        request = self._receiving or self._current
+        if request is None:
+            return 0
+        if request.tier is None:
+            request.tier = self._server.tier_of(request)
+        return request.tier
+
+    @property
+    def can_refuse(self) -> bool:
+        """Whether a request that has not run can be refused to free memory."""
+        if self._transport is None or self._discards_input:
+            return False
+        if self._in_message:
+            return self._receiving is not self._current or not self.response_started
+        if self._requests:
+            return True
+        current = self._current
+        return (
+            current is not None
+            and self._handler_runs
+            and not self.response_started
+            and current.can_refuse()
+        )
+
+    def refuse(self, reason: str) -> None:
+        """Refuse the request that arrives or has not run, and read no more.
+
+        Called only if ``can_refuse``. The response states that it has not run.
+        """
+        receiving = self._receiving
+        if receiving is not None and receiving is self._current:
+            self._stop_reading_requests()
+            receiving.shed(reason)
+        elif self._in_message or self._requests:
+            # Those that wait get no response; the close does not say that they ran.
+            self._requests.clear()
+            self._receiving = None
+            self._pending_headers = ((b"Retry-After", b"%.2f" % RETRY_AFTER_S),)
+            self._reject(503)
+        else:
+            self.interrupt(reason)
+        self._settle()
+
+    def drop_rest_of_body(self) -> None:
+        """Read no more of a body that is too large."""
+        self._server.account.on_closed(BODY_TOO_LARGE)
+        self._stop_reading_requests()
+        self._pause_reading()
+        self._settle()
+
+    # Progress
+
+    def record_progress(self, now_s: float) -> None:
+        """Note whether the caller has sent or received enough since the last note."""
+        if self._awaits_caller:
+            moved_bytes = self._received_bytes + self._server_sent_bytes
+            if (
+                self._progress_s is not None
+                and moved_bytes - self._progress_mark < MIN_PROGRESS_BYTES
+            ):
+                return
+            self._progress_mark = moved_bytes
+        self._progress_s = now_s if self._awaits_caller else None
+
+    def forget_progress(self) -> None:
+        """Begin anew when progress is of interest again."""
+        self._progress_s = None
+
+    def stalled(self, now_s: float) -> bool:
+        """Return whether the caller has made no progress for ``STALL_S``."""
+        return (
+            self._progress_s is not None
+            and self._awaits_caller
+            and now_s - self._progress_s >= STALL_S
         )
 
+    @property
+    def _awaits_caller(self) -> bool:
+        """Whether the caller has to send or to receive for the connection to go on."""
+        if self._transport is None:
+            return False
+        reads_request = self._in_message and not self._transport_paused
+        return reads_request or not self._writable.is_set()
+
+    @property
+    def _server_sent_bytes(self) -> int:
+        """Bytes that the caller's host has received, up to a constant."""
+        return self._written_bytes - self._unsent_bytes
+
     @property
     def open_requests(self) -> int:
         """Number of requests, with complete heads, whose response is not sent whole."""
@@ -445,6 +798,7 @@
             self._requests
             or (self._in_message and self._receiving is not request)
             or self._pending_rejection is not None
+            or self._held_input
         )
         self._is_last_response = (
             not request.keeps_alive
@@ -454,6 +808,7 @@
         )
         if self._is_last_response and request.body_complete:
             self._discards_input = True
+            self._held_input = b""
         return self._is_last_response
 
     def interrupt(self, reason: str) -> None:
@@ -493,14 +848,34 @@
 
     def resume_reading(self) -> None:
         """Continue to read after a pause."""
-        if self._reading_paused and self._transport is not None:
+        if self._reading_paused or self._held_input:
             self._reading_paused = False
-            self._transport.resume_reading()
+            self._update_reading()
 
     def _pause_reading(self) -> None:
-        if not self._reading_paused and self._transport is not None:
-            self._reading_paused = True
-            self._transport.pause_reading()
+        self._reading_paused = True
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Pause or resume the transport as the state of the connection demands."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        pauses = (
+            self._reading_paused
+            or bool(self._held_input)
+            or self._waits_for_room
+            or self._dropped_bytes > MAX_DROPPED_BYTES
+        )
+        blocked = self._reading_paused or self._waits_for_room or self._parse_queued
+        if self._held_input and not blocked:
+            self._parse_queued = True
+            self._server.account.parse_later(self)
+        if pauses != self._transport_paused:
+            self._transport_paused = pauses
+            if pauses:
+                self._transport.pause_reading()
+            else:
+                self._transport.resume_reading()
 
     def _set_timer(self, delay_s: float) -> None:
         self._cancel_timer()
@@ -530,6 +905,8 @@
     def _stop_reading_requests(self) -> None:
         """Drop all further input, and close the connection after the responses."""
         self._discards_input = True
+        self._held_input = b""
+        self._waits_for_room = False
         self.closes_when_served = True
 
     def _reject(self, status: int) -> None:
@@ -540,6 +917,8 @@
         """
         self._stop_reading_requests()
         self._in_message = False
+        self._headers = []
+        self._target = b""
         rejected = self._drop_incomplete_request()
         if rejected is not None and rejected is self._current:
             self.abort("the body is not valid")
@@ -563,7 +942,7 @@
         if self._pending_rejection is None:
             self.close()
             return
-        response = Response(self._pending_rejection, closes=True)
+        response = Response(self._pending_rejection, self._pending_headers, closes=True)
         self._pending_rejection = None
         self.write_now(encode_response(response, closes=True, head_only=False))
         self._close_lingering(reads=True)
@@ -595,6 +974,7 @@
     def write_now(self, data: bytes) -> None:
         """Write bytes without waiting for a caller that reads too slowly."""
         if self._transport is not None:
+            self._written_bytes += len(data)
             self._transport.write(data)
 
     async def write(self, data: bytes) -> None:
@@ -608,9 +988,12 @@
         if self._transport is None or self._transport.is_closing():
             raise ConnectionResetError("the caller closed the connection")
         if data:
+            self._written_bytes += len(data)
             self._transport.write(data)
         if not self._writable.is_set():
+            self._settle()
             await self._writable.wait()
+            self._settle()
 
     # Serving
 
@@ -630,9 +1013,14 @@
                 self._current = request
                 await self._serve(request)
                 self._current = None
+                self.served_requests += 1
+                self.unused_since_s = self._loop.time()
+                self._settle()
                 if self._is_last_response:
                     self._end(request)
                     return
+                # It would keep its body in memory until the next request.
+                del request
                 if self.idle and self.closes_when_served:
                     self.close_when_idle()
                 elif self.idle:
@@ -651,8 +1039,12 @@
         Bytes that are unread or arrive later would reset a closed connection, with what
         the caller has not received of the response, so it is closed a little later.
         """
-        reads = not self._reading_paused or not request.body_complete
-        if self._reading_paused or not request.body_complete or self._undelivered_bytes:
+        reads = not self._transport_paused or not request.body_complete
+        if (
+            self._transport_paused
+            or not request.body_complete
+            or self._undelivered_bytes
+        ):
             self._close_lingering(reads=reads)
         else:
             self.close()
--- a/src/shallotroad/http_server/exceptions.py
+++ b/src/shallotroad/http_server/exceptions.py
@@ -11,3 +11,7 @@
 
 class IncompleteBodyError(ConnectionResetError):
     """The connection ended, or was not a valid request any more, within a body."""
+
+
+class RequestShedError(ShallotroadError):
+    """A request gives way, so that the process keeps its limits; it has not run."""
--- a/src/shallotroad/http_server/server.py
+++ b/src/shallotroad/http_server/server.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from shallotroad.http_server.connection import ServerConnection
+from shallotroad.http_server.memory_account import MemoryAccount
 
 
 if TYPE_CHECKING:
@@ -35,6 +36,23 @@
     idle_s: float
 
 
+class RequestLimits(NamedTuple):
+    """How large a request may be.
+
+    Parameters
+    ----------
+    head_bytes : int
+        Names and values of all headers together; a larger head is refused as soon as
+        that is known.
+    body_bytes : int
+        The body. The handler refuses a larger one; the server gives a body of unknown
+        length room for so many bytes.
+    """
+
+    head_bytes: int
+    body_bytes: int
+
+
 # Requests that arrive while the server stops are answered within this time.
 LAST_RESPONSES_TIMEOUT_S = 0.25
 # Callbacks, one after the other, in which an event loop polls its sockets and sets up a
@@ -43,6 +61,10 @@
 # New connections hold up the stop for at most this many rounds of accepting.
 MAX_ACCEPT_ROUNDS = 20
 DEFAULT_TIMEOUTS = Timeouts(head_s=10.0, idle_s=75.0)
+DEFAULT_LIMITS = RequestLimits(head_bytes=131_072, body_bytes=4_194_304)
+# Limits of a process whose settings state none.
+DEFAULT_MEMORY_MB = 300.0
+DEFAULT_DESCRIPTORS = 4096
 
 
 class HttpServer:
@@ -56,6 +78,13 @@
         when ``ServerRequest.interruption`` asks it for a last response.
     timeouts : callable
         Returns the timeouts in force.
+    limits : callable
+        Returns the limits of requests in force.
+    tier_of : callable
+        Returns the tier of a request, 0 the highest; called only when requests have to
+        give way.
+    account : MemoryAccount or None
+        Account of what the connections hold; None for one of its own.
     on_unanswered : callable
         Called with the number of requests that a connection left without a response
         when it ended, and with the reason of its end.
@@ -71,10 +100,18 @@
         *,
         handler: Handler,
         timeouts: Callable[[], Timeouts] = lambda: DEFAULT_TIMEOUTS,
+        limits: Callable[[], RequestLimits] = lambda: DEFAULT_LIMITS,
+        tier_of: Callable[[ServerRequest], int] = lambda request: 0,
+        account: MemoryAccount | None = None,
         on_unanswered: Callable[[int, str], None] = lambda count, reason: None,
     ) -> None:
         self.handler = handler
         self.timeouts = timeouts
+        self.limits = limits
+        self.tier_of = tier_of
+        self.account = account or MemoryAccount.for_process(
+            memory_mb=DEFAULT_MEMORY_MB, descriptors=DEFAULT_DESCRIPTORS
+        )
         self.on_unanswered = on_unanswered
         self.connections: set[ServerConnection] = set()
         self._listener: asyncio.Server | None = None
--- a/src/shallotroad/platform/settings.py
+++ b/src/shallotroad/platform/settings.py
@@ -64,8 +64,7 @@
 class InstanceSettings(NamedTuple):
     """Settings of the instance, which is a machine, that the process runs on.
 
-    ``memory_mb``, ``descriptors``, ``link_mbps``, ``heartbeat_s`` and ``first_start``
-    are decoded but not used.
+    ``link_mbps``, ``heartbeat_s`` and ``first_start`` are decoded but not used.
 
     Parameters
     ----------
@@ -95,6 +94,8 @@
         requests and grants, apart from ``peers``. The first is the UDP port of this
         process on ``host``, and the last is not used. Both are 0 when the file states
         none; then no such socket is opened.
+    memory_mb : float
+        Memory that the process may use, in MB.
     descriptors : int
         Maximum number of open file descriptors.
     cores : float
--- a/src/shallotroad/upstream/connection.py
+++ b/src/shallotroad/upstream/connection.py
@@ -260,7 +260,10 @@
         self._buffered_bytes = 0
         self._unparsed_bytes = 0
         self.request_count += 1
-        self._transport.write(head + body if body else head)
+        self._transport.write(head)
+        if body:
+            # Joined with the head, a large body would be in memory twice.
+            self._transport.write(body)
 
     async def head(self) -> ResponseHead:
         """Wait for the head of the response.
