--- a/src/shallotroad/gateway/http_frontend.py
+++ b/src/shallotroad/gateway/http_frontend.py
@@ -22,8 +22,8 @@
 from shallotroad.http_server.connection import ResponseStream
 from shallotroad.http_server.exceptions import BodyTooLargeError
 from shallotroad.http_server.exceptions import RequestShedError
-from shallotroad.http_server.memory_account import LIMIT_REACHED
 from shallotroad.http_server.memory_account import RETRY_AFTER_S
+from shallotroad.http_server.memory_account import SHED_REASONS
 from shallotroad.http_server.memory_account import MemoryAccount
 from shallotroad.http_server.message import Response
 from shallotroad.http_server.server import DEFAULT_DESCRIPTORS
@@ -285,7 +285,7 @@
             return BrokenStreamError(request.interruption)
         if job is not None and job.possible_runs:
             return OutcomeUnknownError(request.interruption, status=502)
-        gives_way = request.interruption == LIMIT_REACHED
+        gives_way = request.interruption in SHED_REASONS
         return RefusedError(
             request.interruption, retry_after_s=RETRY_AFTER_S if gives_way else 0.0
         )
@@ -376,14 +376,12 @@
         head_bytes = sum(len(name) + len(value) for name, value in request.headers)
         if head_bytes > configuration.limits.header_bytes:
             raise RejectedError("headers are too large", status=431)
-        announced_bytes = request.announced_bytes or 0
+        body_limit_bytes = configuration.limits.body_bytes
         if decoded.expects_continue and (
-            announced_bytes <= configuration.limits.body_bytes
+            (request.announced_bytes or 0) <= body_limit_bytes
         ):
             request.send_continue()
-        body = await self._read_body(
-            request, decoded.deadline_ms, configuration.limits.body_bytes
-        )
+        body = await self._read_body(request, decoded.deadline_ms, body_limit_bytes)
         await self._check_connected(request)
         configuration = self._catalog.configuration or configuration
         path = decoded.target.partition("?")[0]
--- a/src/shallotroad/http_server/connection.py
+++ b/src/shallotroad/http_server/connection.py
@@ -13,6 +13,7 @@
 import sys
 import termios
 from collections import deque
+from functools import cached_property
 from typing import TYPE_CHECKING
 from typing import cast
 
@@ -128,7 +129,6 @@
         self.head_bytes = head_bytes
         self.body_bytes = 0
         self.tier: int | None = None
-        self.announced_bytes = self._announced_bytes()
         self._body: io.BytesIO | None = None
         self._read_bytes = 0
         self._drops_body = False
@@ -148,7 +148,9 @@
         """Tell a caller that waits for it to send the body."""
         self.connection.write_now(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def _announced_bytes(self) -> int | None:
+    @cached_property
+    def announced_bytes(self) -> int | None:
+        """Announced length of the body; None if there is none."""
         for name, value in self.headers:
             if name.lower() == b"content-length" and value.strip().isdigit():
                 return int(value)
@@ -208,7 +210,8 @@
             if self.shed_reason:
                 raise RequestShedError(self.shed_reason)
             self._read_bytes = self.body_bytes
-            if max(self.body_bytes, self.announced_bytes or 0) > max_bytes:
+            announced_bytes = 0 if self.body_complete else self.announced_bytes or 0
+            if max(self.body_bytes, announced_bytes) > max_bytes:
                 self.drop_body()
                 if not self.body_complete:
                     self.connection.drop_rest_of_body()
@@ -453,7 +456,7 @@
         self._callbacks = 0
         position = 0
         while position < len(data):
-            part = data[position : position + PARSED_BYTES]
+            part = data[position : position + self._part_bytes]
             position += len(part)
             self._feed(part)
             if self._discards_input:
@@ -469,6 +472,14 @@
             self._set_timer(self._server.timeouts().head_s)
         self._held_input = bytes(data[position:])
 
+    @property
+    def _part_bytes(self) -> int:
+        """Size of the next part to parse; the rest of an announced body is one part."""
+        receiving = self._receiving
+        if receiving is None or receiving.announced_bytes is None:
+            return PARSED_BYTES
+        return max(PARSED_BYTES, receiving.announced_bytes - receiving.body_bytes)
+
     def _feed(self, data: memoryview) -> None:
         """Let the parser have a part of the input, and check the limits of framing."""
         self._unparsed_bytes += len(data)
@@ -511,17 +522,20 @@
             self._request_room(receiving)
 
     def _request_room(self, receiving: ServerRequest) -> None:
-        """Ask for room for the rest of a large body, and wait if there is none."""
+        """Ask for room for the rest of a large body, and wait if there is none.
+
+        One that waits behind other requests is not read on until it is served: it would
+        take room that others could use meanwhile.
+        """
+        behind_others = self._current is not None or len(self._requests) > 1
+        if receiving is not self._current and behind_others:
+            self._pause_reading()
+            return
         limit_bytes = self._server.limits().body_bytes
+        announced_bytes = receiving.announced_bytes
         expected_bytes = min(
-            limit_bytes
-            if receiving.announced_bytes is None
-            else (receiving.announced_bytes),
-            limit_bytes,
+            limit_bytes if announced_bytes is None else announced_bytes, limit_bytes
         )
-        if receiving is not self._current:
-            # It is not read further than this until it is served.
-            expected_bytes = min(expected_bytes, MAX_BUFFERED_BYTES + READ_BYTES)
         needed_bytes = expected_bytes - receiving.body_bytes
         if needed_bytes <= 0:
             return  # Its handler refuses a body that is larger than expected.
@@ -533,6 +547,12 @@
             self._waits_for_room = False
             self._room_limit_bytes = expected_bytes
 
+    def _give_up_room(self) -> None:
+        """Wait for no room any more."""
+        if self._waits_for_room:
+            self._waits_for_room = False
+            self._server.account.withdraw(self)
+
     def room_given(self, needed_bytes: int) -> None:
         """Continue to read a body that waited for room."""
         self._waits_for_room = False
@@ -694,7 +714,10 @@
             self._stop_reading_requests()
             receiving.shed(reason)
         elif self._in_message or self._requests:
-            # Those that wait get no response; the close does not say that they ran.
+            # The first that waits gets the response; for the others, the close does not
+            # say whether they ran.
+            if len(self._requests) > 1:
+                self._server.on_unanswered(len(self._requests) - 1, reason)
             self._requests.clear()
             self._receiving = None
             self._pending_headers = ((b"Retry-After", b"%.2f" % RETRY_AFTER_S),)
@@ -915,7 +938,7 @@
         """Drop all further input, and close the connection after the responses."""
         self._discards_input = True
         self._held_input = b""
-        self._waits_for_room = False
+        self._give_up_room()
         self.closes_when_served = True
 
     def _reject(self, status: int) -> None:
@@ -963,6 +986,7 @@
         With ``reads``, what the caller still sends is read and dropped meanwhile.
         """
         self._discards_input = True
+        self._give_up_room()
         if self._transport is None:
             return
         if reads:
--- a/src/shallotroad/http_server/memory_account.py
+++ b/src/shallotroad/http_server/memory_account.py
@@ -62,6 +62,8 @@
 NO_PROGRESS = "no progress"
 NO_ROOM = "no room for the body"
 LIMIT_REACHED = "memory limit reached"
+# Reasons for which requests are refused that may be sent again.
+SHED_REASONS = frozenset((NO_PROGRESS, NO_ROOM, LIMIT_REACHED))
 CONNECTION_LIMIT = "too many connections"
 HEAD_TOO_LARGE = "head too large"
 BODY_TOO_LARGE = "body too large"
@@ -215,6 +217,10 @@
         self._give_room()
         return False
 
+    def withdraw(self, connection: ServerConnection) -> None:
+        """Let a body wait for room no longer."""
+        self._waiting.pop(connection, None)
+
     def _has_room(self, needed_bytes: int) -> bool:
         # A single body is always read, so that one over the limit is refused for its
         # size instead of waiting for ever.
@@ -300,7 +306,8 @@
                 stalled.append(connection)
         self._close_stalled(stalled)
         for connection, waiting in list(self._waiting.items()):
-            if now_s - waiting.since_s > MAX_ROOM_WAIT_S:
+            waited_s = now_s - waiting.since_s
+            if waited_s > MAX_ROOM_WAIT_S and connection.can_refuse:
                 self.refuse(connection, NO_ROOM)
         self._give_room()
         self._watch()
