--- a/tests/processes/test_clients_that_ignore_limits.py
+++ b/tests/processes/test_clients_that_ignore_limits.py
@@ -13,8 +13,11 @@
 import pytest
 from devtools.bench.usage import count_descriptors
 from devtools.bench.usage import read_peak_memory_bytes
+from devtools.dependency_standins import HOST
 from devtools.gateway_harness import GatewayHarness
 
+from tests.clients_without_limits import BYTE_CHUNK
+from tests.clients_without_limits import CHUNKED
 from tests.clients_without_limits import KINDS
 from tests.clients_without_limits import MAX_BODY_BYTES
 from tests.clients_without_limits import Crowd
@@ -103,3 +106,34 @@
     assert served
     assert peak_bytes <= MAX_MEMORY_BYTES
     assert descriptors <= MAX_FDS
+
+
+async def send_body(harness: GatewayHarness, number: int, body: bytes) -> int:
+    response = await harness.send_request("/book/1", f"b{number}", body=body, name="g2")
+    return response.status
+
+
+async def send_in_small_chunks(harness: GatewayHarness, body_bytes: int) -> bytes:
+    """Send a body in chunks of one byte and return the first line of the response."""
+    reader, writer = await asyncio.open_connection(HOST, harness.ports["g2"]["front"])
+    writer.write(CHUNKED)
+    for _ in range(body_bytes // 4_096):
+        writer.write(BYTE_CHUNK * 4_096)
+        await writer.drain()
+    writer.write(b"0\r\n\r\n")
+    line = await reader.readline()
+    writer.close()
+    return line
+
+
+async def test_clients_within_the_limits_meet_no_new_one(
+    harness: GatewayHarness,
+) -> None:
+    await harness.start("g2", limits={"memory-mb": 160, "max-fds": 4096})
+    small = [send_body(harness, n, b"x" * 17_000) for n in range(300)]
+    large = [send_body(harness, 300 + n, b"x" * MAX_BODY_BYTES) for n in range(8)]
+    statuses = await asyncio.gather(*small, *large)
+    assert set(statuses) == {200}
+    assert b" 200 " in await send_in_small_chunks(harness, MAX_BODY_BYTES)
+    limits = {"caller request shed", "caller connection closed"}
+    assert not [e for e in harness.read_log("g2") if e.get("event") in limits]
