Compare callers rarely while none of them can give way

Cause: with the limit exceeded by forwarded requests, which are kept, each read of any connection compared all connections.

Change: all are compared at most every 50 ms then; in between, only the request that grows is refused.

--- a/src/shallotroad/http_server/memory_account.py
+++ b/src/shallotroad/http_server/memory_account.py
@@ -52,6 +52,9 @@
 # A body that waits longer for room is refused.
 MAX_ROOM_WAIT_S = 5.0
 CHECK_INTERVAL_S = 0.25
+# While forwarded requests, which are kept, hold more than the limit, all connections are
+# compared at most once in this time.
+COMPARE_INTERVAL_S = 0.05
 # Among requests that hold at least this share of the largest, the lowest tier goes.
 SIMILAR_SIZE_SHARE = 0.5
 # When a request that gave way may be sent again, in seconds.
@@ -126,6 +129,7 @@
         self._parse_queue: deque[ServerConnection] = deque()
         self._parse_scheduled = False
         self._making_room = False
+        self._next_compare_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
     @classmethod
@@ -186,8 +190,9 @@
         self._usages[connection] = usage
         self.held_bytes += usage.held_bytes - previous.held_bytes
         self.room_bytes += usage.room_bytes - previous.room_bytes
-        if self.held_bytes > self.max_bytes:
-            self._enforce_limit()
+        grows = usage.held_bytes > previous.held_bytes
+        if grows and self.held_bytes > self.max_bytes and not self._making_room:
+            self._enforce_limit(connection)
         if self._contended:
             self._watch()
         if usage.held_bytes + usage.room_bytes < previous.held_bytes + (
@@ -245,15 +250,22 @@
 
     # Limits
 
-    def _enforce_limit(self) -> None:
-        """Let connections give up their requests until the limit is kept."""
-        if self._making_room:
-            return
+    def _enforce_limit(self, connection: ServerConnection) -> None:
+        """Let connections give up their requests until the limit is kept.
+
+        If no other can, the one that has grown has to.
+        """
+        now_s = asyncio.get_running_loop().time()
         self._making_room = True
         try:
-            now_s = asyncio.get_running_loop().time()
-            self._shed(self.max_bytes, [c for c in self._usages if c.stalled(now_s)])
-            self._shed(self.max_bytes, list(self._usages))
+            if now_s >= self._next_compare_s:
+                stalled = [c for c in self._usages if c.stalled(now_s)]
+                self._shed(self.max_bytes, stalled)
+                self._shed(self.max_bytes, list(self._usages))
+            if self.held_bytes > self.max_bytes:
+                if now_s >= self._next_compare_s:
+                    self._next_compare_s = now_s + COMPARE_INTERVAL_S
+                self._shed(self.max_bytes, [connection])
         finally:
             self._making_room = False
 
@@ -271,7 +283,7 @@
         candidates = sorted(
             (c for c in candidates if c.can_refuse), key=self._size, reverse=True
         )
-        while candidates and self.held_bytes + self.room_bytes > target_bytes:
+        while candidates and self.held_bytes > target_bytes:
             least = SIMILAR_SIZE_SHARE * self._size(candidates[0])
             similar = [c for c in candidates if self._size(c) >= least]
             chosen = max(similar, key=lambda c: (c.tier, self._size(c)))
--- a/tests/unit/http_server/test_memory_account.py
+++ b/tests/unit/http_server/test_memory_account.py
@@ -109,6 +109,30 @@
     assert (forwarded.ends, new.ends) == ([], [LIMIT_REACHED])
 
 
+async def test_connections_are_compared_rarely_while_none_can_give_way(
+    account: MemoryAccount, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Comparing all of them for each read would take all of the processor's time.
+    monkeypatch.setattr(account, "max_connections", 100)
+    comparisons = 0
+
+    class Forwarded(Caller):
+        def stalled(self, now_s: float) -> bool:
+            nonlocal comparisons
+            comparisons += 1
+            return False
+
+    callers = [Forwarded(account, can_refuse=False) for _ in range(50)]
+    for caller in callers:
+        assert account.add(caller.connection)
+        caller.holds(40_000)
+    for held_bytes in range(40_000, 41_000):
+        callers[0].holds(held_bytes)
+    assert comparisons <= 100
+    new = connect(account).holds(20_000)
+    assert new.ends == [LIMIT_REACHED]
+
+
 async def test_a_stalled_request_gives_way_before_a_larger_one(
     account: MemoryAccount,
 ) -> None:
