--- a/src/shallotroad/http_server/memory_account.py
+++ b/src/shallotroad/http_server/memory_account.py
@@ -52,8 +52,8 @@
 # A body that waits longer for room is refused.
 MAX_ROOM_WAIT_S = 5.0
 CHECK_INTERVAL_S = 0.25
-# While forwarded requests, which are kept, hold more than the limit, all connections are
-# compared at most once in this time.
+# While forwarded requests, which are kept, hold more than the limit, all connections
+# are compared at most once in this time.
 COMPARE_INTERVAL_S = 0.05
 # Among requests that hold at least this share of the largest, the lowest tier goes.
 SIMILAR_SIZE_SHARE = 0.5
