--- a/src/shallotroad/upstream/connection.py
+++ b/src/shallotroad/upstream/connection.py
@@ -135,6 +135,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the response that is still awaited."""
         self._transport = None
+        # The parser refers to this connection. Without the cycle, a closed connection
+        # is freed at once and not by the garbage collector some thousands later.
+        del self._parser
         self._unparsed.resize(0)
         self._writable.set()
         if self._error is None:
@@ -260,7 +263,10 @@
         self._buffered_bytes = 0
         self._unparsed_bytes = 0
         self.request_count += 1
-        self._transport.write(head + body if body else head)
+        self._transport.write(head)
+        if body:
+            # Joined with the head, a large body would be in memory twice.
+            self._transport.write(body)
 
     async def head(self) -> ResponseHead:
         """Wait for the head of the response.
