Send ordinary bodies in one write with their heads

Cause: since the memory account, every body was written apart from its head, which costs a system call for each request; only large bodies would be in memory twice. Bodies up to 128 KiB are joined again. The allocator's setting moves from platform/, which holds the platform's names and formats only, to http_server/, whose buffers need it.

--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -40,7 +40,7 @@
 from shallotroad.http_server.server import HttpServer
 from shallotroad.observability.event_log import flush_periodically
 from shallotroad.observability.event_log import log_event
-from shallotroad.platform.allocator import return_large_blocks
+from shallotroad.http_server.allocator import return_large_blocks
 from shallotroad.platform.store import StoreClient
 from shallotroad.policy.crash_correlation import CrashCorrelation
 from shallotroad.policy.endpoint_rate import make_cold_start_limiter
--- a/src/shallotroad/upstream/connection.py
+++ b/src/shallotroad/upstream/connection.py
@@ -35,6 +35,9 @@
 # Identifiers of earlier requests that a connection remembers; bounds the memory of the
 # many kept connections, 1.8 KB each with identifiers of 16 characters.
 MAX_EARLIER_IDS = 16
+# A body up to this size is sent in one write with its head. Joined with the head, a
+# larger one would be in memory twice.
+MAX_JOINED_BODY_BYTES = 131_072
 
 
 class EndpointConnection(asyncio.Protocol):
@@ -263,10 +266,11 @@
         self._buffered_bytes = 0
         self._unparsed_bytes = 0
         self.request_count += 1
+        if len(body) <= MAX_JOINED_BODY_BYTES:
+            self._transport.write(head + body if body else head)
+            return
         self._transport.write(head)
-        if body:
-            # Joined with the head, a large body would be in memory twice.
-            self._transport.write(body)
+        self._transport.write(body)
 
     async def head(self) -> ResponseHead:
         """Wait for the head of the response.
