--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -36,11 +36,11 @@
 from shallotroad.gateway.store_relay import StoreFollower
 from shallotroad.gateway.store_relay import StoreRelay
 from shallotroad.gateway.store_watcher import StoreWatcher
+from shallotroad.http_server.allocator import return_large_blocks
 from shallotroad.http_server.memory_account import MemoryAccount
 from shallotroad.http_server.server import HttpServer
 from shallotroad.observability.event_log import flush_periodically
 from shallotroad.observability.event_log import log_event
-from shallotroad.http_server.allocator import return_large_blocks
 from shallotroad.platform.store import StoreClient
 from shallotroad.policy.crash_correlation import CrashCorrelation
 from shallotroad.policy.endpoint_rate import make_cold_start_limiter
