Keep requests that may run once from endpoints that fail what they run

Cause: endpoints at times fail 45 % of the requests that they run with their own 500 while their health check succeeds. A lower rank has no effect when all fail or the others have no room. Change: a circuit breaker for each endpoint and a test over the whole service (policy/failing_endpoints.py). Requests that may run once are held while the whole service fails, then refused or sent. Outcomes reach the coordinator with end.

--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -30,6 +30,7 @@
 from shallotroad.policy.endpoint_rate import STATED_LIMIT_FRACTION
 from shallotroad.policy.engine_model import NOMINAL_MODEL
 from shallotroad.policy.engine_model import Prefill
+from shallotroad.policy.failing_endpoints import avoid_open_circuits
 from shallotroad.policy.placement import EngineView
 from shallotroad.policy.placement import Placement
 from shallotroad.policy.placement import rank_engines
@@ -133,6 +134,7 @@
         self.now_s = now_s
         self._views: dict[Cell, list[EngineView]] = {}
         self._reserved: dict[Cell, frozenset[str]] = {}
+        self._with_open_circuits: set[Cell] = set()
 
     def _cell_views(self, cell: Cell) -> list[EngineView]:
         """Return the views of the endpoints of a cell that are not draining."""
@@ -145,18 +147,37 @@
                 view_engine(load, reserved, self.now_s)
                 for load in self._endpoint_registry.active_loads(cell)
             ]
+            if not all(view.load.circuit.is_closed for view in views):
+                self._with_open_circuits.add(cell)
         return views
 
     def usable_views(self, request: PlacementRequest) -> list[EngineView]:
         """Return the views of the endpoints that may serve a request.
 
         Endpoints that are avoided after a connection failure are left out, unless
-        no other endpoint may serve the request.
+        no other endpoint may serve the request. So are those with open circuits, as
+        ``avoid_open_circuits`` says. The list is empty for a request that is held
+        because its whole service fails.
         """
+        if self._endpoint_registry.holds(request, self.now_s):
+            return []
         allows = self._endpoint_registry.filter_for(request, self.now_s)
         allowed = [view for view in self._cell_views(request.cell) if allows(view.load)]
         reachable = [v for v in allowed if v.load.avoided_until_s <= self.now_s]
-        return reachable or allowed
+        usable = reachable or allowed
+        if request.cell not in self._with_open_circuits:
+            return usable
+        waited_ms = (self.now_s - request.arrival_s) * 1000
+        return avoid_open_circuits(
+            usable,
+            repeatable=request.spare_attempts > 0,
+            waited_share=waited_ms / max(1.0, request.objective_ms),
+            now_s=self.now_s,
+            has_room=lambda view: (
+                view.running < view.load.record.slots
+                and _has_room(request, view, self.now_s)
+            ),
+        )
 
     def refresh(self, cell: Cell, load: EndpointLoad) -> None:
         """Recompute the view of an endpoint that was given a request."""
@@ -468,6 +489,9 @@
             self._queue, key=lambda queued: queued.request.priority(now_s)
         )
         for position, queued in enumerate(by_priority):
+            if self._endpoint_registry.holds(queued.request, now_s):
+                remaining.append(queued)  # it takes no room, so others are tried
+                continue
             placement = self._try_place(queued.request, placement_round)
             if placement is not None:
                 queued.on_placed(placement)
@@ -512,6 +536,9 @@
                 queue.add(queued.prefill_ms)
         self._queue = kept
         for queued, wait_s in refused:
+            wait_s = max(
+                wait_s, self._endpoint_registry.failing_s(queued.request, now_s)
+            )
             retry_after_s = min(wait_s, self.retry_after_s(queued.request))
             queued.on_refused(
                 RefusedError(
--- a/src/shallotroad/gateway/coordination/coordinator.py
+++ b/src/shallotroad/gateway/coordination/coordinator.py
@@ -23,6 +23,8 @@
 from shallotroad.gateway.exceptions import RefusedError
 from shallotroad.observability.event_log import log_event
 from shallotroad.policy.engine_model import NOMINAL_MODEL
+from shallotroad.policy.failing_endpoints import CONNECT_FAILURE_AVOIDANCE_S
+from shallotroad.policy.failing_endpoints import Fault
 
 
 if TYPE_CHECKING:
@@ -280,11 +282,22 @@
         if request is not None:
             if message.success:
                 request.load.record_success(self._clock())
-            elif message.failure_weight:
-                request.load.record_failure(self._clock(), message.failure_weight)
+            elif message.failure_weight or message.fault:
+                request.load.record_failure(
+                    self._clock(), message.failure_weight, message.fault
+                )
+                if message.fault is Fault.UNREACHABLE:
+                    self._avoid_unreachable(request.load)
         self._remove_request(gateway, message.number)
         self._admission.schedule_dispatch()
 
+    def _avoid_unreachable(self, load: EndpointLoad) -> None:
+        """Avoid an endpoint that refused the connection of another gateway."""
+        now_s = self._clock()
+        until_s = now_s + CONNECT_FAILURE_AVOIDANCE_S
+        if load.circuit.believe_unreachable(until_s, now_s):
+            load.avoided_until_s = max(load.avoided_until_s, until_s)
+
     def apply_report(self, message: Report) -> None:
         """Make the counted requests of a gateway match its report.
 
--- a/src/shallotroad/gateway/coordination/messages.py
+++ b/src/shallotroad/gateway/coordination/messages.py
@@ -24,6 +24,8 @@
 from shallotroad.policy.engine_model import NOMINAL_MODEL
 from shallotroad.policy.engine_model import EngineModel
 from shallotroad.policy.engine_model import is_valid_model
+from shallotroad.policy.failing_endpoints import Fault
+from shallotroad.policy.failing_endpoints import default_fault
 from shallotroad.policy.placement import RequestProfile
 from shallotroad.policy.placement_request import PlacementRequest
 
@@ -117,13 +119,17 @@
     """The end of a request at its endpoint, or the withdrawal of a placement request.
 
     ``success`` is set when the response was complete. ``failure_weight`` is the weight
-    of a failure that the endpoint itself caused, 0 if there was none.
+    of a failure that the endpoint itself caused, 0 if there was none. ``fault`` is what
+    the circuit breaker of the endpoint counts. It is sent only if it does not follow
+    from the weight: ``default_fault``. A coordinator of an earlier version drops such a
+    message and learns of the end from the next report.
     """
 
     sender: Sender
     number: int
     success: bool
     failure_weight: float
+    fault: Fault = Fault.NONE
 
 
 class InFlightRequest(NamedTuple):
@@ -216,6 +222,8 @@
         request.expected_tokens,
         request.refusable,
         request.cell_name,
+        request.spare_attempts,
+        request.runs_once,
     ]
 
 
@@ -236,6 +244,9 @@
     expected_tokens = fields[14] if len(fields) > 14 else 1
     refusable = fields[15] if len(fields) > 15 else False
     cell_name = fields[16] if len(fields) > 16 else ""
+    # Without these the request is neither a probe of a failing endpoint nor refused.
+    spare_attempts = fields[17] if len(fields) > 17 else 0
+    runs_once = fields[18] if len(fields) > 18 else False
     times = [now_s + _finite(offset_ms) / MS_PER_S for offset_ms in offsets_ms]
     arrival_s, objective_s, end_s, deadline_s, last_start_s = times
     prompt_parts = tuple(
@@ -265,6 +276,8 @@
         expected_tokens=int(expected_tokens),
         refusable=bool(refusable),
         cell_name=str(cell_name),
+        spare_attempts=int(spare_attempts),
+        runs_once=bool(runs_once),
     )
 
 
@@ -385,8 +398,12 @@
         streamed = bool(fields[3]) if len(fields) > 3 else False
         return Started(sender, int(number), _finite(first_event_ms), streamed)
     if kind == "end":
-        number, success, failure_weight = fields[1:]
-        return Ended(sender, int(number), bool(success), _finite(failure_weight))
+        number, success, failure_weight, *rest = fields[1:]
+        weight = _finite(failure_weight)
+        if not 0 <= weight <= 1:
+            raise ValueError(f"failure weight of {weight!r}")
+        fault = Fault(rest[0]) if rest else default_fault(weight)
+        return Ended(sender, int(number), bool(success), weight, fault)
     if kind == "work":
         in_flight, pending = fields[1:]
         return Report(
@@ -418,6 +435,8 @@
         return orjson.dumps(["start", list(message.sender), *fields])
     if isinstance(message, Ended):
         fields = [message.number, message.success, message.failure_weight]
+        if message.fault is not default_fault(message.failure_weight):
+            fields.append(message.fault)
         return orjson.dumps(["end", list(message.sender), *fields])
     kind = REPLY_KINDS[type(message)]
     if isinstance(message, Grant):
--- a/src/shallotroad/gateway/coordination/placement_client.py
+++ b/src/shallotroad/gateway/coordination/placement_client.py
@@ -34,6 +34,7 @@
 from shallotroad.policy.decode_pace import StreamPace
 from shallotroad.policy.engine_model import NOMINAL_MODEL
 from shallotroad.policy.engine_model import StepTimer
+from shallotroad.policy.failing_endpoints import Fault
 from shallotroad.policy.placement import Placement
 
 
@@ -609,7 +610,12 @@
             placed.pace.record_events(count, now_s)
 
     def record_end(
-        self, placement: Placement, *, success: bool, failure_weight: float = 0.0
+        self,
+        placement: Placement,
+        *,
+        success: bool,
+        failure_weight: float = 0.0,
+        fault: Fault = Fault.NONE,
     ) -> None:
         """Remove a request from the reports, and notify its coordinator, if any.
 
@@ -623,11 +629,15 @@
             Whether the response was complete.
         failure_weight : float
             Weight of a failure that the endpoint itself caused; 0 if there was none.
+        fault : Fault
+            What the circuit breaker of the endpoint counts.
         """
         self._admission.schedule_dispatch()
         placed = self._in_flight.pop(placement.number, None)
         if placed is not None and placed.coordinator:
-            message = Ended(self._sender, placement.number, success, failure_weight)
+            message = Ended(
+                self._sender, placement.number, success, failure_weight, fault
+            )
             self._send(placed.coordinator, message)
 
     def report(self) -> None:
--- a/src/shallotroad/gateway/endpoint_registry.py
+++ b/src/shallotroad/gateway/endpoint_registry.py
@@ -10,6 +10,7 @@
 from shallotroad.policy.cells import divide
 from shallotroad.policy.endpoint_load import EndpointLoad
 from shallotroad.policy.engine_model import NOMINAL_MODEL
+from shallotroad.policy.failing_endpoints import ServiceFailures
 from shallotroad.policy.placement import reserved_engines
 from shallotroad.upstream.pool import ConnectionPool
 
@@ -19,13 +20,16 @@
 
     from shallotroad.catalog.endpoint import EndpointRecord
     from shallotroad.policy.engine_model import EngineModel
+    from shallotroad.policy.failing_endpoints import CircuitChange
     from shallotroad.policy.placement_request import PlacementRequest
 
 
 class EndpointRegistry:
     """Loads and connection pools by endpoint identifier.
 
-    ``on_changed`` is called after an endpoint was added, changed or removed.
+    ``on_changed`` is called after an endpoint was added, changed or removed,
+    ``on_circuit_changed`` when the circuit breaker of an endpoint or the failure of a
+    service changes its state.
 
     Parameters
     ----------
@@ -52,7 +56,9 @@
         self._engine_models: dict[str, EngineModel] = {}
         self._cell_maps: dict[str, CellMap] = {}
         self._cell_loads: dict[str, dict[str, list[EndpointLoad]]] = {}
+        self._failures: dict[str, ServiceFailures] = {}
         self.on_changed: Callable[[], None] = lambda: None
+        self.on_circuit_changed: Callable[[CircuitChange], None] = lambda _: None
 
     def put(self, record: EndpointRecord) -> None:
         """Add an endpoint, or apply its changed record.
@@ -65,7 +71,10 @@
         load = self.loads.get(record.identifier)
         if load is None:
             load = EndpointLoad(
-                record=record, now_s=now_s, model=self.engine_model(record.service)
+                record=record,
+                now_s=now_s,
+                model=self.engine_model(record.service),
+                service_failures=self._service_failures(record.service),
             )
             self.loads[record.identifier] = load
             self._forget_cells(record.service)
@@ -92,10 +101,32 @@
             load.cold_until_s = now_s + record.cold_remaining_ms / 1000
         self.on_changed()
 
+    def _service_failures(self, service: str) -> ServiceFailures:
+        """Return the outcomes of all endpoints of a service."""
+        failures = self._failures.get(service)
+        if failures is None:
+            failures = self._failures[service] = ServiceFailures(
+                service=service, on_change=self._log_circuit_change
+            )
+        return failures
+
+    def _log_circuit_change(self, change: CircuitChange) -> None:
+        fields = {
+            "service": change.service,
+            "state": change.state,
+            "failure_share": round(change.failure_share, 2),
+        }
+        if change.endpoint:
+            log_event("endpoint circuit changed", endpoint=change.endpoint, **fields)
+        else:
+            log_event("service failure changed", **fields)
+        self.on_circuit_changed(change)
+
     def remove(self, identifier: str) -> None:
         """Remove an endpoint; responses in flight are not interrupted."""
         load = self.loads.pop(identifier, None)
         if load is not None:
+            load.circuit.service_failures.forget(identifier)
             self._forget_cells(load.record.service)
         pool = self._pools.pop(identifier, None)
         if pool is not None:
@@ -224,6 +255,33 @@
             load.limit_per_s is not None for load in self._loads_of(Cell(service))
         )
 
+    def holds(self, request: PlacementRequest, now_s: float) -> bool:
+        """Return whether a request waits because its whole service fails.
+
+        Only requests that may run once do.
+        """
+        failures = self._failures.get(request.service)
+        if (
+            failures is None
+            or failures.failing_since_s is None
+            or not request.runs_once
+        ):
+            return False
+        return failures.holds(
+            caller=request.own_part,
+            arrival_s=request.arrival_s,
+            last_start_s=request.last_start_s,
+            deadline_s=request.deadline_s,
+            now_s=now_s,
+        )
+
+    def failing_s(self, request: PlacementRequest, now_s: float) -> float:
+        """Return for how long the service of a request that is held still fails."""
+        failures = self._failures.get(request.service)
+        if failures is None or not request.runs_once:
+            return 0.0
+        return failures.expected_rest_s(now_s)
+
     def filter_for(
         self, request: PlacementRequest, now_s: float
     ) -> Callable[[EndpointLoad], bool]:
--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -200,6 +200,9 @@
         coordinator=coordinator, placement_client=placement_client
     )
     metrics = GatewayMetrics()
+    endpoint_registry.on_circuit_changed = lambda change: metrics.circuits.inc(
+        {"state": change.state}
+    )
     crash_correlation = CrashCorrelation(
         source=f"{membership.name}:{membership.incarnation}"
     )
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -21,6 +21,8 @@
 from shallotroad.observability.event_log import log_event
 from shallotroad.platform.headers import encode_request_head
 from shallotroad.policy.engine_model import NOMINAL_MODEL
+from shallotroad.policy.failing_endpoints import CONNECT_FAILURE_AVOIDANCE_S
+from shallotroad.policy.failing_endpoints import Fault
 from shallotroad.policy.windowed_retry_budget import WindowedRetryBudget
 from shallotroad.upstream.exceptions import ConnectError
 from shallotroad.upstream.exceptions import ConnectionLostError
@@ -62,8 +64,6 @@
 # that are full have room again after a few responses. It also applies to failed
 # connections.
 NOT_RUN_RETRY_AFTER_S = 0.3
-# An endpoint that accepts no connection is avoided for this long.
-CONNECT_FAILURE_AVOIDANCE_S = 1.0
 # A kept connection is reused only if it was idle for at most this long. The limit is
 # lower for jobs that are not repeatable, which can't be retried if it is lost.
 NON_REPEATABLE_MAX_IDLE_S = 1.0
@@ -426,6 +426,9 @@
                     job.body,
                 )
             except ConnectError as error:
+                # Other errors may be due to this gateway's own link.
+                if isinstance(error.__cause__, ConnectionRefusedError):
+                    progress.fault = Fault.UNREACHABLE
                 raise NotRunError(str(error), sent=False) from error
             progress.sent_s = self._clock()
             may_have_run = True
@@ -436,7 +439,7 @@
                     job, connection, sink, splitter, progress, timeout
                 )
             if response is not None and response.head.status >= MIN_SERVER_ERROR_STATUS:
-                progress.failure = 1.0
+                progress.record_failure(Fault.ERROR)
             else:
                 progress.success = True
             self._metrics.attempts.inc({"end": "answered"})
@@ -447,13 +450,13 @@
             connection = None
             return response
         except (ConnectionLostError, MalformedResponseError) as error:
-            progress.failure = 1.0
+            progress.record_failure(Fault.LOST)
             if isinstance(error, ConnectionLostError):
                 progress.watch.record_connection_lost()
             raise AttemptOutcomeUnknownError(str(error)) from error
         except TimeoutError:
             if not progress.started_s:
-                progress.failure = 1.0
+                progress.record_failure(Fault.LOST)
                 progress.watch.record_silence(self._clock() - progress.sent_s)
             raise AttemptOutcomeUnknownError("no answer in time") from None
         except NotRunError:
@@ -586,6 +589,8 @@
                 job
             ):
                 self._endpoint_registry.record_server_error(job.attempts[-1])
+                # The coordinator's ranking by failures does not count it.
+                progress.fault = Fault.ERROR
                 raise AttemptOutcomeUnknownError(
                     f"status {head.status}", response=response
                 )
@@ -689,6 +694,8 @@
         Whether a complete response below status 500 arrived.
     failure : float
         Weight of the attempt in the endpoint's failure share; 0 for none.
+    fault : Fault
+        What the circuit breaker of the endpoint counts.
     """
 
     def __init__(
@@ -709,6 +716,7 @@
         self.success = False
         self.failure = 0.0
         self._streamed = False
+        self.fault = Fault.NONE
 
     @property
     def _first_event_ms(self) -> float:
@@ -731,6 +739,11 @@
                 self._placement, self._first_event_ms, streamed=streamed
             )
 
+    def record_failure(self, fault: Fault) -> None:
+        """Record that the endpoint itself failed the attempt."""
+        self.failure = 1.0
+        self.fault = fault
+
     def record_events(self, count: int) -> None:
         """Record complete events that have arrived together."""
         self._placement_client.record_events(self._placement, count)
@@ -753,6 +766,8 @@
         model = placement.model
         shows_speed = self._streamed or model == NOMINAL_MODEL
         if self.started_s and update_slowness and shows_speed:
+            load.record_failure(now_s, self.failure, self.fault)
+        if self.started_s and update_slowness:
             expected_ms = placement.backlog_ms + placement.prefill_ms
             load.update_slowness(
                 expected_ms,
@@ -762,5 +777,8 @@
             )
         load.record_end(placement.due_s, started=bool(self.started_s), now_s=now_s)
         self._placement_client.record_end(
-            placement, success=self.success, failure_weight=self.failure
+            placement,
+            success=self.success,
+            failure_weight=self.failure,
+            fault=self.fault,
         )
--- a/src/shallotroad/gateway/job.py
+++ b/src/shallotroad/gateway/job.py
@@ -217,8 +217,15 @@
             refusable=(
                 self.gap_tolerant and not self.possible_runs and not self.attempts
             ),
+            spare_attempts=max(0, self.max_runs - self.possible_runs - 1),
+            runs_once=self.max_runs == 1,
         )
 
+    @property
+    def max_runs(self) -> int:
+        """Number of attempts that may run, at least 1."""
+        return max(1, self.route.max_attempts) if self.route.repeatable else 1
+
     @property
     def _next_event_due_s(self) -> float:
         """Time by which the first event is due, or the next of a resumed stream."""
--- a/src/shallotroad/gateway/metrics.py
+++ b/src/shallotroad/gateway/metrics.py
@@ -58,6 +58,9 @@
         Suspensions of requests that crash endpoints, by ``event``: "begun", "lifted",
         "trial" (a request was let through), "refused" (a request was not sent), "alone"
         (one was sent alone) or "waited" (one had to wait for its turn).
+    circuits : Counter
+        Changes of circuit breakers of endpoints, and of the failure of whole services,
+        by ``state``: "open", "probing", "closed", "failing" or "recovered".
     first_event_s : Histogram
         Time from the arrival of a request to the head of its stream, by ``kind``.
     request_s : Histogram
@@ -102,6 +105,11 @@
             "Changes of what endpoints say of themselves, by source",
             registry=self.registry,
         )
+        self.circuits = Counter(
+            "shallotroad_circuit_changes_total",
+            "Changes of circuit breakers and of the failure of services, by state",
+            registry=self.registry,
+        )
         self.first_event_s = Histogram(
             "shallotroad_first_event_seconds",
             "Time to the first event of streams",
--- a/src/shallotroad/policy/endpoint_load.py
+++ b/src/shallotroad/policy/endpoint_load.py
@@ -31,6 +31,10 @@
 from shallotroad.policy.endpoint_statement import MAX_LEAVING_S
 from shallotroad.policy.engine_model import NOMINAL_MODEL
 from shallotroad.policy.engine_model import relative_prefill
+from shallotroad.policy.failing_endpoints import Circuit
+from shallotroad.policy.failing_endpoints import Fault
+from shallotroad.policy.failing_endpoints import ServiceFailures
+from shallotroad.policy.failing_endpoints import default_fault
 
 
 if TYPE_CHECKING:
@@ -109,6 +113,8 @@
         The endpoint's latest registration.
     now_s : float
         Current time in seconds.
+    service_failures : ServiceFailures or None
+        The outcomes of all endpoints of its service; None for those of this one alone.
 
     Attributes
     ----------
@@ -138,6 +144,8 @@
     quiet_until_s : float
         Time until which it wants no requests of this gateway, whatever others may send;
         0 if it never asked for that.
+    circuit : Circuit
+        Its circuit breaker.
     kv_cache_tokens : int
         Capacity of the engine's KV cache; 0 when it is unknown. ``Admission`` sets it
         from the configuration when it places a request there.
@@ -149,9 +157,14 @@
         record: EndpointRecord,
         now_s: float,
         model: EngineModel = NOMINAL_MODEL,
+        service_failures: ServiceFailures | None = None,
     ) -> None:
         self.record = record
         self.model = model
+        self.circuit = Circuit(
+            endpoint=record.identifier,
+            service_failures=service_failures or ServiceFailures(),
+        )
         self.running = 0
         self.awaiting_first_event = 0
         self.last_seen_s = now_s
@@ -237,6 +250,7 @@
         """
         self.running += 1
         self.awaiting_first_event += 1
+        self.circuit.record_request(now_s)
         if gap_sensitive_tokens:
             step_ms = GAP_SENSITIVE_STEPS_PER_TOKEN * self.model.decode_step_ms
             work_ms = prefill_ms + step_ms * gap_sensitive_tokens
@@ -260,6 +274,10 @@
         ValueError
             When no request that awaits its first event has this ``due_s``.
         """
+        self.circuit.record_first_event()
+        self._remove_awaiting(due_s, now_s)
+
+    def _remove_awaiting(self, due_s: float, now_s: float) -> None:
         self.awaiting_first_event -= 1
         self._first_events_due_s.remove(due_s)
         if self.awaiting_first_event == 0:
@@ -269,9 +287,9 @@
         """Record the end of a request.
 
         ``due_s`` is the result of its ``record_dispatch``; ``started`` says whether
-        ``record_first_event`` was called for it. If not, that is called now: the
-        backlog keeps the request's prefill until no request awaits its first event. The
-        prefill debt keeps it in any case.
+        ``record_first_event`` was called for it. If not, it awaits its first event no
+        longer: the backlog keeps the request's prefill until no request awaits its
+        first event. The prefill debt keeps it in any case.
 
         Raises
         ------
@@ -281,7 +299,7 @@
         """
         self.running -= 1
         if not started:
-            self.record_first_event(due_s, now_s)
+            self._remove_awaiting(due_s, now_s)
 
     def backlog_ms(self, now_s: float) -> float:
         """Return the expected time to prefill the prompts that wait there.
@@ -430,14 +448,22 @@
         """Record a complete response."""
         self._decay_outcomes(now_s)
         self._success_weight += 1.0
+        self.circuit.record_success(now_s)
 
-    def record_failure(self, now_s: float, weight: float = 1.0) -> None:
+    def record_failure(
+        self, now_s: float, weight: float = 1.0, fault: Fault | None = None
+    ) -> None:
         """Record a failure caused by the endpoint itself.
 
-        ``weight`` is 1 for a full failure and less for weaker evidence.
+        ``weight`` is 1 for a full failure and less for weaker evidence. ``fault`` is
+        what the circuit breaker counts; None if only the weight is known.
         """
         self._decay_outcomes(now_s)
         self._failure_weight += weight
+        if fault is None:
+            fault = default_fault(weight)
+        if fault in (Fault.ERROR, Fault.LOST):
+            self.circuit.record_failure(now_s, error=fault is Fault.ERROR)
 
     def failure_share(self, now_s: float) -> float:
         """Return the recent share of failures, from 0 to below 1.
@@ -499,3 +525,4 @@
         self._parts.clear()
         self._part_tokens = 0
         self._failure_weight = 0.0
+        self.circuit.reset()
--- a/src/shallotroad/policy/placement_request.py
+++ b/src/shallotroad/policy/placement_request.py
@@ -59,6 +59,11 @@
     refusable : bool
         Whether it may be refused as soon as its first event can't be in time. False
         if it may have run already, so that a refusal would lose what was done.
+    spare_attempts : int
+        Number of attempts that may follow one that fails although it may have run.
+    runs_once : bool
+        Whether its route allows a single attempt that may run, so that the request is
+        lost if its endpoint fails it. It has not been run before.
     """
 
     service: str
@@ -77,6 +82,8 @@
     expected_tokens: int = 1
     refusable: bool = False
     cell_name: str = ""
+    spare_attempts: int = 0
+    runs_once: bool = False
 
     def priority(self, now_s: float) -> tuple[int, int, bool, float]:
         """Return the sort key among queued requests; the lowest is placed first.
@@ -93,6 +100,15 @@
         """Cell on whose endpoints the request is placed."""
         return Cell(self.service, self.cell_name)
 
+    @property
+    def own_part(self) -> str:
+        """The part of its prompt that only it or its session has; empty if unknown.
+
+        A caller's retry of a refused request has the same one.
+        """
+        parts = self.profile.parts
+        return parts[-1].identifier if parts else ""
+
     @property
     def objective_ms(self) -> float:
         """Time from the arrival to the objective, in milliseconds."""
