--- a/src/shallotroad/policy/failing_endpoints.py
+++ b/src/shallotroad/policy/failing_endpoints.py
@@ -248,6 +248,10 @@
         share = USUAL_SHARE_MARGIN * self._average_share
         return min(FAILING_SHARE, max(MIN_USUAL_SHARE, share))
 
+    def add(self, endpoint: str) -> None:
+        """Count an endpoint among those that could be used."""
+        self._last_request_s.setdefault(endpoint, -math.inf)
+
     def forget(self, endpoint: str) -> None:
         """Forget the outcomes of an endpoint that is gone or whose circuit opens."""
         self._counts.pop(endpoint, None)
@@ -393,6 +397,7 @@
     def __init__(self, *, endpoint: str, service_failures: ServiceFailures) -> None:
         self._endpoint = endpoint
         self._service = service_failures
+        service_failures.add(endpoint)
         self._state = CircuitState.CLOSED
         self._test = FailureTest()
         self._last_failure_s = -math.inf
