--- a/tests/unit/gateway/test_failing_endpoints.py
+++ b/tests/unit/gateway/test_failing_endpoints.py
@@ -7,18 +7,23 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Any
 
 import pytest
 
 import shallotroad.gateway.admission as admission_module
 from shallotroad.policy.failing_endpoints import Circuit
 from shallotroad.policy.failing_endpoints import ServiceFailures
+from tests.failing_alternatives import hold_until_objective
+from tests.failing_alternatives import refuse_at_once
+from tests.failing_alternatives import send_at_once
 from tests.failing_simulation import FAILURE_SHARE
 from tests.failing_simulation import FailingSimulation
 from tests.virtual_time import VirtualTimePolicy
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
 SEEDS = range(1, 7)
@@ -45,6 +50,7 @@
 async def play(
     seed: int,
     *,
+    engines: int = 8,
     failing: Sequence[str] | None = None,
     share: float = FAILURE_SHARE,
     for_s: float = 4.0,
@@ -53,7 +59,7 @@
     usual_share: float = 0.004,
     after_s: float = 6.0,
 ) -> FailingSimulation:
-    simulation = FailingSimulation(engines=8, seed=seed, weights=weights)
+    simulation = FailingSimulation(engines=engines, seed=seed, weights=weights)
     simulation.usual_share = usual_share
     await simulation.send_load(per_s=per_s, for_s=BEFORE_S)
     simulation.fail(share, names=failing)
@@ -64,18 +70,18 @@
     return simulation
 
 
-async def lost_ratio(patch: pytest.MonkeyPatch, **changes: object) -> float:
+async def lost_ratio(patch: pytest.MonkeyPatch, **changes: Any) -> float:
     """Return the lost requests with circuit breakers by those without."""
     lost = 0.0
     for seed in SEEDS:
-        simulation = await play(seed, **changes)  # type: ignore[arg-type]
+        simulation = await play(seed, **changes)
         check_sound(simulation)
         lost += simulation.lost_share()
     remove_circuits(patch)
     try:
         before = 0.0
         for seed in SEEDS:
-            simulation = await play(seed, **changes)  # type: ignore[arg-type]
+            simulation = await play(seed, **changes)
             before += simulation.lost_share()
     finally:
         patch.undo()
@@ -162,3 +168,24 @@
         without_circuits.undo()
         assert after.arrivals == before.arrivals
         assert after.ends == before.ends
+
+
+# Guards against a change of the way that is chosen for requests that may run only once
+# to one that serves fewer callers. Each failing time is within 3 to 5 s.
+@pytest.mark.parametrize("other", [send_at_once, hold_until_objective, refuse_at_once])
+async def test_holding_before_a_refusal_loses_the_fewest(
+    other: Callable[[pytest.MonkeyPatch], None],
+) -> None:
+    chosen = await mean_lost_share()
+    with pytest.MonkeyPatch.context() as patch:
+        other(patch)
+        assert chosen < await mean_lost_share()
+
+
+async def mean_lost_share(**changes: Any) -> float:
+    shares = [
+        (await play(seed, for_s=for_s, **changes)).lost_share()
+        for seed in SEEDS
+        for for_s in (3.0, 4.0, 5.0)
+    ]
+    return sum(shares) / len(shares)
