Send the team and the route of a placement request to the coordinator

The coordinator of a cell could not tell teams apart, so it can neither share engine time among them nor recognise a caller that returns through another gateway.

PlacementRequest has team and route, at the end of the row of ask. A request of the previous version has neither and belongs to the team "". A name that is no text, or longer than 256 characters, makes the message malformed; the sender cuts longer ones of the configuration. Tests of both, and of absurd delays in refuse, are in test_messages.py and pass.

--- a/src/shallotroad/gateway/coordination/messages.py
+++ b/src/shallotroad/gateway/coordination/messages.py
@@ -29,6 +29,8 @@
 
 
 MS_PER_S = 1000.0
+# Longer names of teams and routes are cut by the sender and refused by the receiver.
+MAX_NAME_LENGTH = 256
 
 
 class Sender(NamedTuple):
@@ -216,6 +218,8 @@
         request.expected_tokens,
         request.refusable,
         request.cell_name,
+        request.team[:MAX_NAME_LENGTH],
+        request.route[:MAX_NAME_LENGTH],
     ]
 
 
@@ -236,6 +240,8 @@
     expected_tokens = fields[14] if len(fields) > 14 else 1
     refusable = fields[15] if len(fields) > 15 else False
     cell_name = fields[16] if len(fields) > 16 else ""
+    team = _name(fields[17]) if len(fields) > 17 else ""
+    route = _name(fields[18]) if len(fields) > 18 else ""
     times = [now_s + _finite(offset_ms) / MS_PER_S for offset_ms in offsets_ms]
     arrival_s, objective_s, end_s, deadline_s, last_start_s = times
     prompt_parts = tuple(
@@ -265,9 +271,26 @@
         expected_tokens=int(expected_tokens),
         refusable=bool(refusable),
         cell_name=str(cell_name),
+        team=team,
+        route=route,
     )
 
 
+def _name(value: Any) -> str:
+    """Return a name of a message.
+
+    Raises
+    ------
+    TypeError, ValueError
+        When it is not a text, or too long.
+    """
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r} is not a name")
+    if len(value) > MAX_NAME_LENGTH:
+        raise ValueError(f"a name of {len(value)} characters")
+    return value
+
+
 def _finite(value: Any) -> float:
     """Return a number of a message.
 
--- a/src/shallotroad/gateway/job.py
+++ b/src/shallotroad/gateway/job.py
@@ -217,6 +217,8 @@
             refusable=(
                 self.gap_tolerant and not self.possible_runs and not self.attempts
             ),
+            team=self.team.name if self.team is not None else "",
+            route=self.route.name,
         )
 
     @property
--- a/src/shallotroad/policy/placement_request.py
+++ b/src/shallotroad/policy/placement_request.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -59,6 +60,12 @@
     refusable : bool
         Whether it may be refused as soon as its first event can't be in time. False
         if it may have run already, so that a refusal would lose what was done.
+    team, route : str
+        Names of the team and the route. An empty team stands for all callers without
+        one, and without a route the caller's return is not recognised.
+    waits_since_s : float
+        Time from which the limit of the prefill debt grows for this request, if that is
+        earlier than its arrival. Only the gateway that places it sets it.
     """
 
     service: str
@@ -77,6 +84,9 @@
     expected_tokens: int = 1
     refusable: bool = False
     cell_name: str = ""
+    team: str = ""
+    route: str = ""
+    waits_since_s: float = math.inf
 
     def priority(self, now_s: float) -> tuple[int, int, bool, float]:
         """Return the sort key among queued requests; the lowest is placed first.
--- a/tests/unit/gateway/coordination/test_messages.py
+++ b/tests/unit/gateway/coordination/test_messages.py
@@ -1,9 +1,13 @@
 from __future__ import annotations
 
+from typing import Any
+
+import orjson
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from shallotroad.catalog.configuration import Team
 from shallotroad.gateway.coordination.exceptions import MalformedMessageError
 from shallotroad.gateway.coordination.messages import CrashNews
 from shallotroad.gateway.coordination.messages import Decline
@@ -82,3 +86,52 @@
     report = decode(b'["work",["g1",5],[[1,"e1",2.0,0,true]],[7]]', 10.0)
     assert isinstance(report, Report)
     assert report.in_flight[0].lag == 0.0
+
+
+def submit_row() -> list[Any]:
+    request = make_gateway_job(now_s=100.0).placement_request(100.0)
+    row: list[Any] = orjson.loads(encode(Submit(SENDER, 1, request), 100.0))
+    return row
+
+
+def test_the_team_and_the_route_of_a_request_are_sent() -> None:
+    job = make_gateway_job(team=Team("clinic", frozenset({"key"}), None, frozenset()))
+    sent = Submit(SENDER, 1, job.placement_request(100.0))
+    received = decode(encode(sent, 100.0), 100.0)
+    assert isinstance(received, Submit)
+    assert (received.request.team, received.request.route) == ("clinic", "r1")
+
+
+def test_a_request_of_the_version_before_has_no_team_and_no_route() -> None:
+    row = submit_row()
+    row[3] = row[3][:17]
+    received = decode(orjson.dumps(row), 100.0)
+    assert isinstance(received, Submit)
+    assert (received.request.team, received.request.route) == ("", "")
+
+
+@pytest.mark.parametrize("position", [17, 18], ids=["team", "route"])
+@pytest.mark.parametrize("value", [None, 3, -1.5, True, ["a"], {"a": 1}, "x" * 257])
+def test_a_name_that_is_no_short_text_is_rejected(position: int, value: Any) -> None:
+    row = submit_row()
+    row[3][position] = value
+    with pytest.raises(MalformedMessageError):
+        decode(orjson.dumps(row), 100.0)
+
+
+def test_a_long_name_of_the_configuration_is_cut_and_not_lost() -> None:
+    team = Team("t" * 900, frozenset({"key"}), None, frozenset())
+    sent = Submit(SENDER, 1, make_gateway_job(team=team).placement_request(100.0))
+    received = decode(encode(sent, 100.0), 100.0)
+    assert isinstance(received, Submit)
+    assert received.request.team == "t" * 256
+
+
+@pytest.mark.parametrize("delay", ["1e999", "-1", '"soon"', "null", "NaN"])
+def test_an_absurd_delay_of_a_refusal_is_rejected_or_none(delay: str) -> None:
+    data = f'["refuse",3,"no room in time",{delay}]'.encode()
+    try:
+        message = decode(data, 0.0)
+    except MalformedMessageError:
+        return
+    assert message == Refuse(3, "no room in time", 0.0)
