Share insufficient engine time among teams, and reserve places for returns

Cause: the queue orders by tiers and objectives only, so a team at 7.5 times its usual load takes the engines of all teams of its tier; Retry-After reserves nothing, so callers that return are refused again, many after they have waited.

Change: start-time fair queueing over engine time among the teams that wait in a tier; a refusal has the time of the forecast and reserves a place where the caller may wait for it; the check of late starts and one for a team beyond its share also run at submit.

--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -23,20 +23,28 @@
 
 import asyncio
 import math
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from shallotroad.gateway.exceptions import RefusedError
 from shallotroad.observability.event_log import log_event
 from shallotroad.policy.data_centre_balance import DataCentreBalance
+from shallotroad.policy.endpoint_load import GAP_SENSITIVE_STEPS_PER_TOKEN
 from shallotroad.policy.endpoint_rate import MIN_STATED_PER_S
 from shallotroad.policy.endpoint_rate import STATED_LIMIT_FRACTION
 from shallotroad.policy.engine_model import NOMINAL_MODEL
 from shallotroad.policy.engine_model import Prefill
+from shallotroad.policy.fair_shares import FairShares
+from shallotroad.policy.fair_shares import TierKey
 from shallotroad.policy.placement import EngineView
 from shallotroad.policy.placement import Placement
 from shallotroad.policy.placement import rank_engines
 from shallotroad.policy.placement import view_engine
 from shallotroad.policy.recent_parts import RecentParts
+from shallotroad.policy.return_places import ReturnPlace
+from shallotroad.policy.return_places import ReturnPlaces
+from shallotroad.policy.return_places import is_early
+from shallotroad.policy.return_places import return_key
 
 
 if TYPE_CHECKING:
@@ -51,6 +59,7 @@
     from shallotroad.policy.data_centre_balance import LocalPreference
     from shallotroad.policy.endpoint_load import EndpointLoad
     from shallotroad.policy.endpoint_rate import EndpointRateLimiter
+    from shallotroad.policy.engine_model import EngineModel
     from shallotroad.policy.placement import RankedEngine
     from shallotroad.policy.placement_request import PlacementRequest
 
@@ -80,6 +89,13 @@
 # The shares that may leave a data centre are logged when one has changed by this much.
 LOGGED_SHARE_CHANGE = 0.1
 MAX_LOGGED_ENDPOINTS = 30
+MAX_LOGGED_TEAMS = 10
+# Limits of what other gateways state: engine time of a request, and wait of one that
+# raises the limit of debt of those before it.
+MAX_WORK_MS = 60_000.0
+MAX_SHARED_WAIT_S = 10.0
+# Latest time for which a place is reserved, however long a caller would wait.
+MAX_PLACE_DELAY_S = 60.0
 # A dispatch is a pass over the queue that places what has room. Backlogs and cold
 # starts end without an event that would trigger one.
 DISPATCH_INTERVAL_S = 0.05
@@ -95,6 +111,14 @@
 # A request may wait for this share of its objective even if its prefill takes the rest,
 # so that long prompts are not refused more often than short ones.
 MIN_WAIT_OBJECTIVE_SHARE = 0.8
+# A request is refused when it arrives if it is expected to start later than this share
+# of its objective before its latest time: forecasts vary, and callers that return and
+# other teams overtake it.
+SUBMIT_MARGIN_OBJECTIVE_SHARE = 0.1
+# Where teams compete, a queued request is refused only if its first event would be late
+# by more than this share of its objective; one that has waited would have done so in
+# vain.
+LATE_TOLERANCE_OBJECTIVE_SHARE = 0.15
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 3.0
 # Retry-After as a share of the time left to the deadline; callers wait for at most a
@@ -105,8 +129,18 @@
 class QueuedPlacement:
     """A queued request and the callbacks that receive its placement or refusal.
 
-    ``queued_at_s`` is the monotonic time at which it joined the queue, ``prefill_ms``
-    the expected prefill time of its prompt at an engine of slowness 1.
+    Attributes
+    ----------
+    queued_at_s : float
+        Monotonic time at which it joined the queue.
+    prefill_ms : float
+        Expected prefill time of its prompt at an engine of slowness 1.
+    has_place : bool
+        Whether its caller returned in time for its place, so that it is not refused.
+    has_returned : bool
+        Whether its caller was refused before, so that another return is unlikely.
+    work_ms, precedes, virtual_start_ms, waits_since_s
+        See ``fair_shares.WaitingRequest``.
     """
 
     def __init__(
@@ -117,12 +151,42 @@
         on_refused: Callable[[RefusedError], None],
         queued_at_s: float,
         prefill_ms: float,
+        work_ms: float,
+        has_place: bool = False,
+        has_returned: bool = False,
     ) -> None:
         self.request = request
         self.on_placed = on_placed
         self.on_refused = on_refused
         self.queued_at_s = queued_at_s
         self.prefill_ms = prefill_ms
+        self.has_place = has_place
+        self.has_returned = has_returned
+        self.tier_key = _tier_key(request)
+        self.team = request.team
+        self.objective_s = request.objective_s
+        self.arrival_s = max(request.arrival_s, queued_at_s - MAX_SHARED_WAIT_S)
+        self.work_ms = work_ms
+        # An interrupted stream has been charged already, and its events are due soon.
+        self.precedes = has_place or (
+            request.profile.gap_tolerant
+            and not request.refusable
+            and bool(request.route)
+        )
+        self.virtual_start_ms = 0.0
+        self.waits_since_s = request.waits_since_s
+
+    def sort_key(self, now_s: float) -> tuple[int, int, bool, bool, float]:
+        """Return ``request.priority`` with places before others of a tier."""
+        _, tier, route_tier = self.tier_key
+        late = now_s > self.objective_s
+        return (tier, route_tier, not self.has_place, late, self.objective_s)
+
+    def placeable_request(self) -> PlacementRequest:
+        """Return the request with the time from which its limit of debt grows."""
+        if self.waits_since_s >= self.arrival_s:
+            return self.request
+        return self.request._replace(waits_since_s=self.waits_since_s)
 
 
 class PlacementRound:
@@ -180,9 +244,19 @@
     ----------
     loads : sequence of EndpointLoad
         The engines that serve the queue.
+    promised : sequence of ReturnPlace
+        Places of callers that are to return, the earliest first.
     """
 
-    def __init__(self, *, loads: Sequence[EndpointLoad], now_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        loads: Sequence[EndpointLoad],
+        now_s: float,
+        promised: Sequence[ReturnPlace] = (),
+    ) -> None:
+        self._now_s = now_s
+        self._promised = list(promised)
         self._share_sum = sum(load.prefill_share for load in loads)
         self._slowness = sum(load.slowness for load in loads) / max(1, len(loads))
         self._share = self._share_sum / max(1, len(loads))
@@ -195,6 +269,30 @@
         """Add a queued prompt, whose prefill takes this long at slowness 1."""
         self._work_ms += prefill_ms * self._slowness
 
+    def add_promised(self, place: ReturnPlace) -> None:
+        """Add a place that was promised now."""
+        self._promised.append(place)
+
+    def add_due_places(self, tiers: tuple[int, int]) -> None:
+        """Add the work of places that come before a request of these tiers.
+
+        These are the places of its tiers or more urgent ones that are due before the
+        engines have prefilled what waits for them so far.
+        """
+        if not self._promised or not self._share_sum:
+            return
+        later: list[ReturnPlace] = []
+        for place in self._promised:
+            if place.tiers <= tiers and place.due_s <= self._now_s + self.wait_s:
+                self.add(place.work_ms)
+            else:
+                later.append(place)
+        self._promised = later
+
+    def engine_ms(self, time_s: float) -> float:
+        """Return the prefill time at slowness 1 that the engines have in a time."""
+        return time_s * 1000.0 * self._share_sum / max(0.001, self._slowness)
+
     @property
     def wait_s(self) -> float:
         """Time until the engines have prefilled what waits for them so far."""
@@ -251,6 +349,11 @@
         self._logged_shares: dict[Cell, dict[str, float]] = {}
         self._shares_logged_s = -math.inf
         self._needed_tokens_per_ms: dict[str, float] = {}
+        self._fair_shares = FairShares()
+        self._places = ReturnPlaces()
+        # Decisions by name since the start, for the metrics.
+        self.decisions: Counter[str] = Counter()
+        self._logged_decisions: Counter[str] = Counter()
         self._queue: list[QueuedPlacement] = []
         self._dispatch_timer: asyncio.TimerHandle | None = None
         endpoint_registry.on_changed = self.schedule_dispatch
@@ -260,6 +363,16 @@
         """Number of queued requests."""
         return len(self._queue)
 
+    @property
+    def return_places(self) -> int:
+        """Number of callers that were told when to return and have not done so."""
+        return len(self._places)
+
+    @property
+    def competing_tiers(self) -> int:
+        """Number of tiers in which teams compete or did a moment ago."""
+        return len(self._fair_shares.tiers)
+
     def submit(
         self,
         request: PlacementRequest,
@@ -273,7 +386,8 @@
         its endpoint already counts the request. ``last_start_s`` is not checked: a
         request stays queued until it is placed, its submitter withdraws it, or
         ``on_refused`` is called because its first event can't be in time. That is also
-        called at once if the limits that all endpoints state let it start too late.
+        called at once if the limits that all endpoints state let it start too late, or
+        its caller returned before the time that it was told while others wait.
 
         Raises
         ------
@@ -285,12 +399,26 @@
             self._update_prefill_shares(request)
         if self._dispatch_timer is not None:
             self.dispatch_queued()  # queued requests may be more urgent
-        if not self._limits_all(request):
+        has_place = has_returned = False
+        if request.refusable and self._places:
+            place, early = self._returned(request, now_s)
+            if early is not None:
+                on_refused(early)
+                return None
+            if place is not None:
+                has_returned = True
+                has_place = place.work_ms > 0
+                if has_place:
+                    request = request._replace(waits_since_s=place.since_s)
+        if not self._limits_all(request) and (
+            has_place or not self._follows_others(request, now_s)
+        ):
             placement = self._try_place(
                 request,
                 PlacementRound(endpoint_registry=self._endpoint_registry, now_s=now_s),
             )
             if placement is not None:
+                self._charge(request, placement, now_s)
                 on_placed(placement)
                 return None
         usable_loads = self._endpoint_registry.usable_loads(request)
@@ -306,18 +434,204 @@
                 )
             )
             return None
-        if len(self._queue) >= MAX_QUEUED:
+        if len(self._queue) >= MAX_QUEUED and not has_place:
             raise RefusedError("queue full", retry_after_s=self.retry_after_s(request))
+        prefill_ms = self._model_prefill_ms(request, now_s)
+        model = self._endpoint_registry.engine_model(request.service)
         queued = QueuedPlacement(
             request=request,
             on_placed=on_placed,
             on_refused=on_refused,
             queued_at_s=now_s,
-            prefill_ms=self._model_prefill_ms(request, now_s),
+            prefill_ms=prefill_ms,
+            work_ms=_work_ms(request, prefill_ms, model),
+            has_place=has_place,
+            has_returned=has_returned,
         )
+        self._begin_competition(queued, now_s)
+        if request.refusable and not has_place:
+            refusal = self._refusal_at_submit(queued, now_s)
+            if refusal is not None:
+                on_refused(refusal)
+                return None
         self._queue.append(queued)
+        if self._fair_shares.tiers:
+            self.schedule_dispatch()
         return queued
 
+    def _returned(
+        self, request: PlacementRequest, now_s: float
+    ) -> tuple[ReturnPlace | None, RefusedError | None]:
+        """Return the place of a caller that returns, or why it is refused.
+
+        A caller that was told when to return and comes before that is served only if
+        nothing waits for the engines. Its place stays.
+        """
+        key = return_key(request)
+        place = self._places.find(key, now_s) if key is not None else None
+        if key is None or place is None:
+            return None, None
+        if is_early(place, now_s):
+            if not any(queued.request.cell == request.cell for queued in self._queue):
+                return None, None
+            self.decisions["returned early"] += 1
+            remaining_s = min(place.due_s - now_s, self._max_retry_after_s(request))
+            return None, RefusedError(
+                "returned too early", retry_after_s=max(MIN_RETRY_AFTER_S, remaining_s)
+            )
+        self._places.use(key)
+        if place.work_ms:
+            self.decisions["place used"] += 1
+        return place, None
+
+    def _follows_others(self, request: PlacementRequest, now_s: float) -> bool:
+        """Return whether a request of another team comes first by its share."""
+        key = _tier_key(request)
+        shares = self._fair_shares.tier(key)
+        if shares is None or not shares.waiting - {request.team}:
+            return False
+        start_ms, _ = self._join(key, request.team)
+        return any(
+            queued.tier_key == key and queued.virtual_start_ms < start_ms
+            for queued in self._queue
+        )
+
+    def _begin_competition(self, queued: QueuedPlacement, now_s: float) -> None:
+        """Set the virtual start of a request that is about to join the queue.
+
+        If it is the first one of a second team in its tier, the teams begin to compete.
+        """
+        key, team = queued.tier_key, queued.team
+        if self._fair_shares.tier(key) is not None:
+            queued.virtual_start_ms, _ = self._join(key, team)
+        elif any(q.tier_key == key and q.team != team for q in self._queue):
+            self._fair_shares.order([*self._queue, queued], now_s)
+
+    def _join(self, key: TierKey, team: str) -> tuple[float, list[QueuedPlacement]]:
+        """Return the virtual start of a new request, and its team's queued requests."""
+        own = [q for q in self._queue if q.tier_key == key and q.team == team]
+        shares = self._fair_shares.tier(key)
+        start_ms = shares.start_ms(team) if shares is not None else 0.0
+        return start_ms + sum(queued.work_ms for queued in own), own
+
+    def _refusal_at_submit(
+        self, queued: QueuedPlacement, now_s: float
+    ) -> RefusedError | None:
+        """Return why a request is refused at once; None if it may wait.
+
+        It is refused if it would be later: if its first event can't be in time behind
+        the requests before it, or if its team's share of the engines does not suffice
+        for what the team has waiting already.
+        """
+        request, key = queued.request, queued.tier_key
+        queue = self._queue_estimate(request.cell, now_s)
+        shares = self._fair_shares.tier(key)
+        tiers = (request.tier, request.route_tier)
+        own_work_ms = 0.0
+        if shares is not None:
+            _, own = self._join(key, queued.team)
+            own_work_ms = sum(q.work_ms for q in own if q.request.refusable)
+        sort_key = queued.sort_key(now_s)
+        engines_wait_s = queue.wait_s
+        for other in self._queue:
+            if other.request.cell != key.cell or not other.request.profile.gap_tolerant:
+                continue
+            if shares is not None and other.tier_key == key:
+                ahead = other.precedes or (
+                    other.virtual_start_ms <= queued.virtual_start_ms
+                )
+            else:
+                ahead = other.sort_key(now_s) <= sort_key
+            if ahead:
+                queue.add(other.prefill_ms)
+        queue.add_due_places(tiers)
+        wait_s, reason = queue.wait_s, "no room in time"
+        if shares is not None and own_work_ms:
+            share = shares.capacity_share(queued.team, now_s)
+            engine_ms_per_s = max(
+                1.0, queue.engine_ms(1.0), shares.used_ms_per_s(now_s)
+            )
+            own_wait_s = engines_wait_s + own_work_ms / (share * engine_ms_per_s)
+            if own_wait_s > wait_s:
+                wait_s, reason = own_wait_s, "team beyond its share"
+        margin_s = SUBMIT_MARGIN_OBJECTIVE_SHARE * request.objective_ms / 1000
+        if now_s + wait_s <= _latest_start_s(queued, queue) - margin_s:
+            return None
+        self.decisions["refused at submit"] += 1
+        return self._refusal(queued, queue, wait_s, now_s, reason)
+
+    def _refusal(
+        self,
+        queued: QueuedPlacement,
+        queue: QueueEstimate,
+        wait_s: float,
+        now_s: float,
+        reason: str,
+    ) -> RefusedError:
+        """Return the refusal of a request that would wait too long.
+
+        If the caller may wait until its turn outside the queue, it gets a place then.
+        """
+        request = queued.request
+        last_retry_after_s = max(MIN_RETRY_AFTER_S, self._max_retry_after_s(request))
+        retry_after_s = max(MIN_RETRY_AFTER_S, min(wait_s, last_retry_after_s))
+        key = return_key(request)
+        if key is None:
+            return RefusedError(reason, retry_after_s=retry_after_s)
+        existing = self._places.find(key, now_s)
+        if existing is not None:
+            remaining_s = min(existing.due_s - now_s, last_retry_after_s)
+            return RefusedError(
+                reason, retry_after_s=max(MIN_RETRY_AFTER_S, remaining_s)
+            )
+        returns = wait_s <= last_retry_after_s and not queued.has_returned
+        shares = self._fair_shares.tier(queued.tier_key)
+        place = ReturnPlace(
+            cell=request.cell,
+            tiers=(request.tier, request.route_tier),
+            since_s=request.arrival_s,
+            due_s=now_s + retry_after_s,
+            work_ms=queued.prefill_ms if returns else 0.0,
+        )
+        reserved = returns and self._places.reserve(
+            key,
+            place,
+            engine_ms=queue.engine_ms(retry_after_s),
+            team_share=shares.capacity_share(queued.team, now_s) if shares else 1.0,
+            now_s=now_s,
+        )
+        if reserved:
+            queue.add_promised(reserved)
+            self.decisions["place reserved"] += 1
+        else:
+            # The later it returns, the more likely is there room without a place.
+            retry_after_s = min(MAX_RETRY_AFTER_S, last_retry_after_s)
+            self._places.add_without_work(
+                key, place._replace(due_s=now_s + retry_after_s, work_ms=0.0), now_s
+            )
+        return RefusedError(reason, retry_after_s=retry_after_s)
+
+    def _max_retry_after_s(self, request: PlacementRequest) -> float:
+        """Return the longest delay that a caller observes, with a margin."""
+        remaining_s = request.deadline_s - self._clock()
+        return min(MAX_PLACE_DELAY_S, RETRY_AFTER_REMAINING_SHARE * remaining_s)
+
+    def _queue_estimate(self, cell: Cell, now_s: float) -> QueueEstimate:
+        return QueueEstimate(
+            loads=self._shared_loads(cell),
+            now_s=now_s,
+            promised=self._places.promised_work(cell, now_s),
+        )
+
+    def _charge(
+        self, request: PlacementRequest, placement: Placement, now_s: float
+    ) -> None:
+        """Charge the team of a placed request where teams compete."""
+        if self._fair_shares.tiers:
+            model = placement.load.model
+            work_ms = _work_ms(request, placement.prefill_ms, model)
+            self._fair_shares.charge(_tier_key(request), request.team, work_ms, now_s)
+
     def _limits_all(self, request: PlacementRequest) -> bool:
         """Return whether others wait and all endpoints for a request state a limit.
 
@@ -369,13 +683,15 @@
         return model.prefill_ms(tokens, request.profile.prompt_tokens - tokens)
 
     def rescale_prefills(self, service: str, ratio: float) -> None:
-        """Convert the queued prefills of a service whose engine model has changed.
+        """Convert queued and promised work of a service whose model has changed.
 
         ``ratio`` is the prefill time of a typical prompt by that with the model before.
         """
         for queued in self._queue:
             if queued.request.service == service:
                 queued.prefill_ms *= ratio
+                queued.work_ms *= ratio
+        self._places.rescale(service, ratio)
         self.schedule_dispatch()
 
     def _update_prefill_shares(self, request: PlacementRequest) -> None:
@@ -472,12 +788,13 @@
         )
         remaining: list[QueuedPlacement] = []
         unplaced = 0
-        by_priority = sorted(
-            self._queue, key=lambda queued: queued.request.priority(now_s)
+        by_priority = self._fair_shares.order(
+            sorted(self._queue, key=lambda queued: queued.sort_key(now_s)), now_s
         )
         for position, queued in enumerate(by_priority):
-            placement = self._try_place(queued.request, placement_round)
+            placement = self._try_place(queued.placeable_request(), placement_round)
             if placement is not None:
+                self._charge(queued.request, placement, now_s)
                 queued.on_placed(placement)
                 continue
             remaining.append(queued)
@@ -497,36 +814,35 @@
         if not any(queued.request.refusable for queued in self._queue):
             return
         queues = {
-            cell: QueueEstimate(loads=self._shared_loads(cell), now_s=now_s)
+            cell: self._queue_estimate(cell, now_s)
             for cell in {queued.request.cell for queued in self._queue}
         }
         kept: list[QueuedPlacement] = []
-        refused: list[tuple[QueuedPlacement, float]] = []
+        refused: list[tuple[QueuedPlacement, RefusedError]] = []
         for queued in self._queue:
             request, queue = queued.request, queues[queued.request.cell]
+            queue.add_due_places((request.tier, request.route_tier))
             wait_s = queue.wait_s
-            # A prompt whose own prefill takes longer than the objective may still be
-            # served late, but it does not wait for others as well.
-            latest_start_s = max(
-                request.objective_s - queue.prefill_s(queued.prefill_ms),
-                request.arrival_s
-                + MIN_WAIT_OBJECTIVE_SHARE * request.objective_ms / 1000,
-            )
-            if request.refusable and now_s + wait_s > latest_start_s:
-                refused.append((queued, wait_s))
+            tolerance_s = 0.0
+            if self._fair_shares.tier(queued.tier_key) is not None:
+                tolerance_s = (
+                    LATE_TOLERANCE_OBJECTIVE_SHARE * request.objective_ms / 1000
+                )
+            if (
+                request.refusable
+                and not queued.has_place
+                and now_s + wait_s > _latest_start_s(queued, queue) + tolerance_s
+            ):
+                refusal = self._refusal(queued, queue, wait_s, now_s, "no room in time")
+                refused.append((queued, refusal))
                 continue
             kept.append(queued)
             if request.profile.gap_tolerant:
                 queue.add(queued.prefill_ms)
         self._queue = kept
-        for queued, wait_s in refused:
-            retry_after_s = min(wait_s, self.retry_after_s(queued.request))
-            queued.on_refused(
-                RefusedError(
-                    "no room in time",
-                    retry_after_s=max(MIN_RETRY_AFTER_S, retry_after_s),
-                )
-            )
+        for queued, refusal in refused:
+            self.decisions["refused in the queue"] += 1
+            queued.on_refused(refusal)
 
     def _shared_loads(self, cell: Cell) -> list[EndpointLoad]:
         """Return the loads of the engines that gap-tolerant requests use first."""
@@ -547,9 +863,16 @@
         while True:
             await asyncio.sleep(DISPATCH_INTERVAL_S)
             self.dispatch_queued()
-            if self._queue and self._clock() - last_logged_s > QUEUE_LOG_INTERVAL_S:
-                last_logged_s = self._clock()
+            now_s = self._clock()
+            if now_s - last_logged_s <= QUEUE_LOG_INTERVAL_S:
+                continue
+            if self._places:
+                self._places.expire(now_s)
+                self.decisions["place expired"] = self._places.unused
+            if self._queue:
+                last_logged_s = now_s
                 self._log_queue(last_logged_s)
+                self._log_capacity_decisions()
 
     def _log_queue(self, now_s: float) -> None:
         """Log the queue, and the endpoints of the cell of its oldest request."""
@@ -575,6 +898,24 @@
             ],
         )
 
+    def _log_capacity_decisions(self) -> None:
+        """Log the decisions on shares and places since the last time, if any."""
+        new = self.decisions - self._logged_decisions
+        if not new:
+            return
+        self._logged_decisions = self.decisions.copy()
+        teams: Counter[str] = Counter()
+        for queued in self._queue:
+            if self._fair_shares.tier(queued.tier_key) is not None:
+                teams[queued.team] += 1
+        log_event(
+            "capacity shared",
+            decisions=dict(new),
+            places=len(self._places),
+            tiers=self.competing_tiers,
+            teams=dict(teams.most_common(MAX_LOGGED_TEAMS)),
+        )
+
     def _local_preference(
         self,
         request: PlacementRequest,
@@ -764,6 +1105,8 @@
     shared engine its prefill debt is limited as well as the backlog.
     """
     waited_ms = (now_s - request.arrival_s) * 1000
+    # What waits behind it may already use an engine with this much debt.
+    debt_waited_ms = (now_s - min(request.arrival_s, request.waits_since_s)) * 1000
     gap_tolerant = request.profile.gap_tolerant
     if gap_tolerant and view.reserved:
         late = waited_ms > RESERVED_AFTER_OBJECTIVE_SHARE * request.objective_ms
@@ -771,13 +1114,36 @@
         return late and idle and view.running <= MAX_RUNNING_ON_RESERVED
     if (
         gap_tolerant
-        and view.debt_ms > MAX_PREFILL_DEBT_MS + PREFILL_DEBT_GROWTH * waited_ms
+        and view.debt_ms > MAX_PREFILL_DEBT_MS + PREFILL_DEBT_GROWTH * debt_waited_ms
     ):
         return False
     limit_ms = min(MAX_BACKLOG_MS, MAX_BACKLOG_OBJECTIVE_SHARE * request.objective_ms)
     return view.backlog_ms <= limit_ms
 
 
+def _tier_key(request: PlacementRequest) -> TierKey:
+    return TierKey(request.cell, request.tier, request.route_tier)
+
+
+def _work_ms(request: PlacementRequest, prefill_ms: float, model: EngineModel) -> float:
+    """Return the engine time of a request: its prefill and its share of decode."""
+    steps = GAP_SENSITIVE_STEPS_PER_TOKEN * max(0, request.expected_tokens)
+    return min(MAX_WORK_MS, max(0.0, prefill_ms) + steps * model.decode_step_ms)
+
+
+def _latest_start_s(queued: QueuedPlacement, queue: QueueEstimate) -> float:
+    """Return the latest start with which a first event can be in time.
+
+    A prompt whose own prefill takes longer than the objective may still be served late,
+    but it does not wait for others as well.
+    """
+    request = queued.request
+    return max(
+        request.objective_s - queue.prefill_s(queued.prefill_ms),
+        request.arrival_s + MIN_WAIT_OBJECTIVE_SHARE * request.objective_ms / 1000,
+    )
+
+
 def _reject(future: asyncio.Future[Placement], error: RefusedError) -> None:
     """Fail a pending ``place`` call, unless it has ended."""
     if not future.done():
--- a/src/shallotroad/gateway/metrics.py
+++ b/src/shallotroad/gateway/metrics.py
@@ -62,6 +62,10 @@
         Suspensions of requests that crash endpoints, by ``event``: "begun", "lifted",
         "trial" (a request was let through), "refused" (a request was not sent), "alone"
         (one was sent alone) or "waited" (one had to wait for its turn).
+    capacity_decisions : Counter
+        Decisions of this gateway's queue on insufficient capacity, by ``decision``:
+        "refused at submit", "refused in the queue", "returned early" (a caller that was
+        told to wait), "place reserved", "place used" or "place expired".
     first_event_s : Histogram
         Time from the arrival of a request to the head of its stream, by ``kind``.
     request_s : Histogram
@@ -127,6 +131,11 @@
             "Changes of what endpoints say of themselves, by source",
             registry=self.registry,
         )
+        self.capacity_decisions = Counter(
+            "shallotroad_capacity_decisions_total",
+            "Refusals by the queue and places of callers that return",
+            registry=self.registry,
+        )
         self.first_event_s = Histogram(
             "shallotroad_first_event_seconds",
             "Time to the first event of streams",
@@ -177,6 +186,8 @@
             "store_calls": components.store.request_count,
             "endpoints": len(components.catalog.endpoints),
             "waiting": components.admission.queue_length,
+            "return_places": components.admission.return_places,
+            "competing_tiers": components.admission.competing_tiers,
             "granted_to_others": components.coordinator.remote_in_flight_count,
             "datagrams_sent": components.coordination_protocol.datagrams_sent,
             "datagrams_received": components.coordination_protocol.datagrams_received,
@@ -197,6 +208,8 @@
         update_balance_metrics(
             components.metrics, components.admission.data_centre_balance
         )
+        for decision, count in components.admission.decisions.items():
+            components.metrics.capacity_decisions.set({"decision": decision}, count)
 
     return update_gauges
 
