Bound the places of competing teams, and the processor time of the queue

Cause: places of a team with much load displace its own queued requests, which are then refused late; each look at the forecast went through all places for each queued request; and a dispatch was scheduled for each arrival while teams competed.

Change: places may take .6 of the engines' time, those of a competing team half of its share of that. The forecast takes the places in the order of their times. Only an arrival that was not tried, because others come first, schedules a dispatch. A cell that is not the last one to be asked reserves no place.

--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -24,6 +24,7 @@
 import asyncio
 import math
 from collections import Counter
+from collections import deque
 from typing import TYPE_CHECKING
 
 from shallotroad.gateway.exceptions import RefusedError
@@ -119,6 +120,10 @@
 # by more than this share of its objective; one that has waited would have done so in
 # vain.
 LATE_TOLERANCE_OBJECTIVE_SHARE = 0.15
+# Where teams compete, a team's places may take this share of its part of the engines'
+# time. Its queued requests wait for them as well as for other teams, and more places
+# mean more refusals from the queue.
+COMPETING_PLACES_SHARE = 0.5
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 3.0
 # Retry-After as a share of the time left to the deadline; callers wait for at most a
@@ -169,9 +174,7 @@
         self.work_ms = work_ms
         # An interrupted stream has been charged already, and its events are due soon.
         self.precedes = has_place or (
-            request.profile.gap_tolerant
-            and not request.refusable
-            and bool(request.route)
+            request.profile.gap_tolerant and not request.refusable
         )
         self.virtual_start_ms = 0.0
         self.waits_since_s = request.waits_since_s
@@ -256,7 +259,10 @@
         promised: Sequence[ReturnPlace] = (),
     ) -> None:
         self._now_s = now_s
-        self._promised = list(promised)
+        # Places by the tiers of their callers, each in the order of their times.
+        self._promised: dict[tuple[int, int], deque[ReturnPlace]] = {}
+        for place in promised:
+            self.add_promised(place)
         self._share_sum = sum(load.prefill_share for load in loads)
         self._slowness = sum(load.slowness for load in loads) / max(1, len(loads))
         self._share = self._share_sum / max(1, len(loads))
@@ -271,7 +277,7 @@
 
     def add_promised(self, place: ReturnPlace) -> None:
         """Add a place that was promised now."""
-        self._promised.append(place)
+        self._promised.setdefault(place.tiers, deque()).append(place)
 
     def add_due_places(self, tiers: tuple[int, int]) -> None:
         """Add the work of places that come before a request of these tiers.
@@ -281,13 +287,11 @@
         """
         if not self._promised or not self._share_sum:
             return
-        later: list[ReturnPlace] = []
-        for place in self._promised:
-            if place.tiers <= tiers and place.due_s <= self._now_s + self.wait_s:
-                self.add(place.work_ms)
-            else:
-                later.append(place)
-        self._promised = later
+        for place_tiers, places in self._promised.items():
+            if place_tiers > tiers:
+                continue
+            while places and places[0].due_s <= self._now_s + self.wait_s:
+                self.add(places.popleft().work_ms)
 
     def engine_ms(self, time_s: float) -> float:
         """Return the prefill time at slowness 1 that the engines have in a time."""
@@ -410,9 +414,8 @@
                 has_place = place.work_ms > 0
                 if has_place:
                     request = request._replace(waits_since_s=place.since_s)
-        if not self._limits_all(request) and (
-            has_place or not self._follows_others(request, now_s)
-        ):
+        follows_others = not has_place and self._follows_others(request, now_s)
+        if not follows_others and not self._limits_all(request):
             placement = self._try_place(
                 request,
                 PlacementRound(endpoint_registry=self._endpoint_registry, now_s=now_s),
@@ -455,7 +458,7 @@
                 on_refused(refusal)
                 return None
         self._queue.append(queued)
-        if self._fair_shares.tiers:
+        if follows_others:
             self.schedule_dispatch()
         return queued
 
@@ -593,11 +596,16 @@
             due_s=now_s + retry_after_s,
             work_ms=queued.prefill_ms if returns else 0.0,
         )
+        team_share = 1.0
+        if shares is not None:
+            team_share = COMPETING_PLACES_SHARE * shares.capacity_share(
+                queued.team, now_s
+            )
         reserved = returns and self._places.reserve(
             key,
             place,
             engine_ms=queue.engine_ms(retry_after_s),
-            team_share=shares.capacity_share(queued.team, now_s) if shares else 1.0,
+            team_share=team_share,
             now_s=now_s,
         )
         if reserved:
--- a/src/shallotroad/gateway/coordination/placement_client.py
+++ b/src/shallotroad/gateway/coordination/placement_client.py
@@ -297,8 +297,13 @@
     def _bounded_request(
         self, job: Job, cell: Cell, last_start_s: float
     ) -> PlacementRequest:
-        """Return a job's placement request for a cell with a bound on its wait."""
+        """Return a job's placement request for a cell with a bound on its wait.
+
+        A cell that is not the last to be asked reserves no place for the caller.
+        """
         request = self._placement_request(job, cell)
+        if last_start_s < math.inf:
+            request = request._replace(route="")
         return request._replace(last_start_s=min(request.last_start_s, last_start_s))
 
     def _mark_lost(self, coordinator: str, job: Job, reason: str) -> None:
--- a/src/shallotroad/policy/return_places.py
+++ b/src/shallotroad/policy/return_places.py
@@ -24,7 +24,7 @@
 GRACE_S = 1.0
 # At most this share of the engines' time until a place is promised to places, so that
 # callers who come for the first time are served too.
-MAX_PROMISED_SHARE = 0.5
+MAX_PROMISED_SHARE = 0.6
 # Weight of a place in the moving average of the share of a team's places that are used.
 RETURN_SHARE_SAMPLE_WEIGHT = 0.3
 # Smallest share of a place's work that counts, however few of a team's callers return.
@@ -102,7 +102,8 @@
     def __init__(self) -> None:
         self.unused = 0
         self._places: dict[ReturnKey, ReturnPlace] = {}
-        # Promised work in a cell, and that of each team there.
+        # Places with promised work in a cell, their work, and that of each team there.
+        self._promised: dict[Cell, dict[ReturnKey, ReturnPlace]] = {}
         self._cell_ms: dict[Cell, float] = {}
         self._team_ms: dict[tuple[Cell, str], float] = {}
         self._return_shares: dict[str, float] = {}
@@ -125,6 +126,9 @@
     def _remove(self, key: ReturnKey, *, returned: bool) -> None:
         place = self._places.pop(key, None)
         if place is not None and place.work_ms:
+            del self._promised[place.cell][key]
+            if not self._promised[place.cell]:
+                del self._promised[place.cell]
             _subtract(self._cell_ms, place.cell, place.work_ms)
             _subtract(self._team_ms, (place.cell, key.team), place.work_ms)
             self._record_return(key.team, returned=returned)
@@ -138,13 +142,11 @@
 
     def promised_work(self, cell: Cell, now_s: float) -> list[ReturnPlace]:
         """Return the places in a cell with promised work, the earliest first."""
-        if cell not in self._cell_ms:
+        promised = self._promised.get(cell)
+        if not promised:
             return []
-        places = [
-            place
-            for place in self._places.values()
-            if place.work_ms and place.cell == cell and now_s <= place.due_s + GRACE_S
-        ]
+        earliest_s = now_s - GRACE_S
+        places = [place for place in promised.values() if place.due_s >= earliest_s]
         places.sort(key=_due_s)
         return places
 
@@ -185,6 +187,7 @@
         self._cell_ms[cell] = cell_ms
         self._team_ms[team] = team_ms
         self._places[key] = place
+        self._promised.setdefault(cell, {})[key] = place
         return place
 
     def add_without_work(
