Convert promised work when the engine model of a service changes

Queued prefills were converted when the learned model comes into force, the work of shares and places, which is newer, was not.

--- a/src/shallotroad/policy/return_places.py
+++ b/src/shallotroad/policy/return_places.py
@@ -67,7 +67,7 @@
         Monotonic times of the arrival of the request that was refused, and at which its
         caller was told to return.
     work_ms : float
-        Prefill time at an engine of nominal speed that counts in the forecast: that of
+        Prefill time at an engine of slowness 1 that counts in the forecast: that of
         its prompt times the share of the team's places that are used; 0 if nothing is
         promised and the caller was only told when to return.
     """
@@ -210,12 +210,13 @@
 
     def rescale(self, service: str, ratio: float) -> None:
         """Convert the promised work of a service whose engine model has changed."""
-        for key, place in self._places.items():
-            if key.service == service and place.work_ms:
-                self._places[key] = place._replace(work_ms=place.work_ms * ratio)
-        for cell in list(self._cell_ms):
-            if cell.service == service:
-                self._cell_ms[cell] *= ratio
+        for cell, promised in self._promised.items():
+            if cell.service != service:
+                continue
+            for key, place in promised.items():
+                promised[key] = place._replace(work_ms=place.work_ms * ratio)
+                self._places[key] = promised[key]
+            self._cell_ms[cell] *= ratio
         for team in list(self._team_ms):
             if team[0].service == service:
                 self._team_ms[team] *= ratio
--- a/tests/engine_model_simulation.py
+++ b/tests/engine_model_simulation.py
@@ -21,6 +21,7 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
+    from shallotroad.gateway.exceptions import RefusedError
     from tests.engine_simulation import SimulatedRequest
     from tests.gateway_builders import AdmissionFixture
 
@@ -55,7 +56,7 @@
         self._background.append(
             asyncio.create_task(self.fixture.admission.dispatch_periodically())
         )
-        self._requests: list[asyncio.Task[None]] = []
+        self._requests: list[asyncio.Task[RefusedError | None]] = []
 
     async def send(
         self,
--- a/tests/unit/policy/test_return_places.py
+++ b/tests/unit/policy/test_return_places.py
@@ -116,6 +116,21 @@
     assert not places._team_ms
 
 
+# Guards against work that is counted in the units of an engine model before.
+def test_a_new_engine_model_converts_the_promised_work() -> None:
+    places = ReturnPlaces()
+    for number in range(10):
+        reserve(places, f"p{number}", engine_ms=2_000.0)
+    places.rescale("other", 9.0)
+    places.rescale("chat", 0.25)
+    work_ms = [promised.work_ms for promised in places.promised_work(CELL, NOW_S)]
+    assert work_ms == [25.0] * 10
+    for number in range(10):
+        places.use(key(f"p{number}"))
+    assert not places._cell_ms
+    assert not places._team_ms
+
+
 def test_the_number_of_places_is_bounded() -> None:
     places = ReturnPlaces()
     for number in range(2 * MAX_PLACES):
