End the accounts of shares when no request waits

Cause: dispatches return at once while the queue is empty, so the teams that waited last were kept as waiting, and others were charged for time that nobody else wanted.

Change: an empty queue updates the shares too. A test plays competition that ends; its state is gone then. Without any competition a request costs no look-up of shares.

--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -489,6 +489,8 @@
 
     def _follows_others(self, request: PlacementRequest, now_s: float) -> bool:
         """Return whether a request of another team comes first by its share."""
+        if not self._fair_shares.tiers:
+            return False
         key = _tier_key(request)
         shares = self._fair_shares.tier(key)
         if shares is None or not shares.waiting - {request.team}:
@@ -788,9 +790,11 @@
         if self._dispatch_timer is not None:
             self._dispatch_timer.cancel()
             self._dispatch_timer = None
+        now_s = self._clock()
         if not self._queue:
+            if self._fair_shares.tiers:
+                self._fair_shares.order([], now_s)  # No team waits any more.
             return
-        now_s = self._clock()
         placement_round = PlacementRound(
             endpoint_registry=self._endpoint_registry, now_s=now_s
         )
--- a/tests/unit/gateway/test_team_beyond_its_share.py
+++ b/tests/unit/gateway/test_team_beyond_its_share.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from tests.burst_simulation import TeamLoad
@@ -100,6 +102,20 @@
     assert min(served.values()) >= 0.5 * max(served.values()), served
 
 
+# Guards against debts for time that no other team wanted, and state that is kept.
+async def test_the_state_of_shares_ends_with_the_competition() -> None:
+    simulation = TeamSimulation(seed=1)
+    admission = simulation.fixture.admission
+    loads = [TeamLoad(f"team{n}", 0.5, burst=(0.0, 3.0, 12.0)) for n in range(5)]
+    seen: list[int] = []
+    for time_s in (2.5, 11.0):
+        asyncio.get_running_loop().call_later(
+            time_s, lambda: seen.append(admission.competing_tiers)
+        )
+    await simulation.play(loads, for_s=LOAD_S)
+    assert seen == [1, 0]
+
+
 def decisions(outcomes: dict[str, TeamOutcomes]) -> list[tuple[str, str, float]]:
     return [placed for o in outcomes.values() for placed in o.placements]
 
