--- a/src/shallotroad/gateway/coordination/messages.py
+++ b/src/shallotroad/gateway/coordination/messages.py
@@ -31,6 +31,8 @@
 
 
 MS_PER_S = 1000.0
+# Longer names of teams and routes are cut by the sender and refused by the receiver.
+MAX_NAME_LENGTH = 256
 
 
 class Sender(NamedTuple):
@@ -224,6 +226,8 @@
         request.cell_name,
         request.spare_attempts,
         request.runs_once,
+        request.team[:MAX_NAME_LENGTH],
+        request.route[:MAX_NAME_LENGTH],
     ]
 
 
@@ -247,6 +251,8 @@
     # Without these the request is neither a probe of a failing endpoint nor refused.
     spare_attempts = fields[17] if len(fields) > 17 else 0
     runs_once = fields[18] if len(fields) > 18 else False
+    team = _name(fields[19]) if len(fields) > 19 else ""
+    route = _name(fields[20]) if len(fields) > 20 else ""
     times = [now_s + _finite(offset_ms) / MS_PER_S for offset_ms in offsets_ms]
     arrival_s, objective_s, end_s, deadline_s, last_start_s = times
     prompt_parts = tuple(
@@ -278,9 +284,26 @@
         cell_name=str(cell_name),
         spare_attempts=int(spare_attempts),
         runs_once=bool(runs_once),
+        team=team,
+        route=route,
     )
 
 
+def _name(value: Any) -> str:
+    """Return a name of a message.
+
+    Raises
+    ------
+    TypeError, ValueError
+        When it is not a text, or too long.
+    """
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r} is not a name")
+    if len(value) > MAX_NAME_LENGTH:
+        raise ValueError(f"a name of {len(value)} characters")
+    return value
+
+
 def _finite(value: Any) -> float:
     """Return a number of a message.
 
--- a/src/shallotroad/gateway/job.py
+++ b/src/shallotroad/gateway/job.py
@@ -219,6 +219,8 @@
             ),
             spare_attempts=max(0, self.max_runs - self.possible_runs - 1),
             runs_once=self.max_runs == 1,
+            team=self.team.name if self.team is not None else "",
+            route=self.route.name,
         )
 
     @property
--- a/src/shallotroad/policy/placement_request.py
+++ b/src/shallotroad/policy/placement_request.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -64,6 +65,12 @@
     runs_once : bool
         Whether its route allows a single attempt that may run, so that the request is
         lost if its endpoint fails it. It has not been run before.
+    team, route : str
+        Names of the team and the route. An empty team stands for all callers without
+        one, and without a route the caller's return is not recognised.
+    waits_since_s : float
+        Time from which the limit of the prefill debt grows for this request, if that is
+        earlier than its arrival. Only the gateway that places it sets it.
     """
 
     service: str
@@ -84,6 +91,9 @@
     cell_name: str = ""
     spare_attempts: int = 0
     runs_once: bool = False
+    team: str = ""
+    route: str = ""
+    waits_since_s: float = math.inf
 
     def priority(self, now_s: float) -> tuple[int, int, bool, float]:
         """Return the sort key among queued requests; the lowest is placed first.
