Let callers use all memory but a fixed reserve, and free bodies of streams that began

The limit was half of what is left, though what is not counted does not grow with the machine, and a body was kept until its stream ended.

Change: the reserve is 33 MB on any machine; room is given up to 0.92 of the limit; a large body is freed when its stream has begun and it can't be sent again. Its key for the crash monitor is kept.

--- a/src/shallotroad/gateway/crash_monitor.py
+++ b/src/shallotroad/gateway/crash_monitor.py
@@ -110,9 +110,12 @@
 
 def fingerprint(job: Job) -> str:
     """Return the key of a job's path, team and body."""
+    if job.request_key:
+        return job.request_key
     team = job.team.name if job.team is not None else ""
     caller = f"{team}\n{job.request.host}\n{job.request.target}\n"
-    return FINGERPRINT_PREFIX + _digest(caller.encode() + job.body)
+    job.request_key = FINGERPRINT_PREFIX + _digest(caller.encode() + job.body)
+    return job.request_key
 
 
 def _digest(data: bytes) -> str:
--- a/src/shallotroad/gateway/http_frontend.py
+++ b/src/shallotroad/gateway/http_frontend.py
@@ -9,10 +9,12 @@
 
 import asyncio
 import math
+from functools import partial
 from typing import TYPE_CHECKING
 
 from loguru import logger
 
+from shallotroad.gateway.crash_monitor import fingerprint
 from shallotroad.gateway.exceptions import BrokenStreamError
 from shallotroad.gateway.exceptions import OutcomeUnknownError
 from shallotroad.gateway.exceptions import RefusedError
@@ -24,6 +26,7 @@
 from shallotroad.http_server.exceptions import RequestShedError
 from shallotroad.http_server.memory_account import RETRY_AFTER_S
 from shallotroad.http_server.memory_account import SHED_REASONS
+from shallotroad.http_server.memory_account import SMALL_BODY_BYTES
 from shallotroad.http_server.memory_account import MemoryAccount
 from shallotroad.http_server.message import Response
 from shallotroad.http_server.server import DEFAULT_DESCRIPTORS
@@ -72,12 +75,14 @@
     that. ``observed_max_event_gap_s`` is the longest time between two writes, without
     the time to the first event; 0 before the second write. If ``is_draining`` returns
     True when the head is sent, the caller's connection is closed after the response.
+    ``on_start`` is called when the head is set.
     """
 
     def __init__(
         self, *, request: ServerRequest, is_draining: Callable[[], bool]
     ) -> None:
         self._is_draining = is_draining
+        self.on_start: Callable[[], None] = lambda: None
         self._response = ResponseStream(request=request)
         self.started_s = 0.0
         self.observed_max_event_gap_s = 0.0
@@ -91,6 +96,7 @@
         """
         self.started_s = asyncio.get_running_loop().time()
         self._response.start(head.status, head.forwarded, closes=self._is_draining())
+        self.on_start()
 
     async def write(self, data: bytes) -> None:
         """Send complete events and record the longest event gap."""
@@ -112,6 +118,16 @@
         self._response.break_off()
 
 
+def _release_body(request: ServerRequest, job: Job) -> None:
+    """Free the large body of a stream that has begun and can't be sent again."""
+    may_retry = job.route.repeatable and job.possible_runs + 1 < job.route.max_attempts
+    if may_retry or len(job.body) <= SMALL_BODY_BYTES:
+        return
+    fingerprint(job)  # It stays known without the body.
+    job.body = b""
+    request.release_body()
+
+
 class HttpFrontend:
     """Receives requests from callers and gives each exactly one response.
 
@@ -237,6 +253,7 @@
         try:
             try:
                 job = await self._create_job(request, decoded, arrival_s)
+                stream.on_start = partial(_release_body, request, job)
                 response = await self._forwarder.run(job, stream)
             except asyncio.CancelledError:
                 if not request.interruption:
--- a/src/shallotroad/gateway/job.py
+++ b/src/shallotroad/gateway/job.py
@@ -60,6 +60,8 @@
     a stream that has started was last interrupted; None before. ``trial_attempt`` is
     the number of attempts before the one that is a trial of a suspended request,
     ``alone_attempt`` of the one that runs alone; None without such an attempt.
+    ``request_key`` is the crash monitor's key of the whole request, once it was asked
+    for; ``body`` may be released after that.
 
     A job lasts until the request has its response. Whenever it needs an endpoint, a
     ``PlacementRequest`` is made from it, which has only what the choice of an endpoint
@@ -98,6 +100,7 @@
     ) -> None:
         self.request = request
         self.body = body
+        self.request_key = ""
         self.route = route
         self.service = service
         self.team = team
--- a/src/shallotroad/http_server/connection.py
+++ b/src/shallotroad/http_server/connection.py
@@ -183,6 +183,11 @@
         self._body = None
         self.body_bytes = self._read_bytes = 0
 
+    def release_body(self) -> None:
+        """Count the body, which has been read whole, no longer as held."""
+        self.drop_body()
+        self.connection.report_usage()
+
     def shed(self, reason: str) -> None:
         """Drop the body and let its reader give up."""
         self.shed_reason = reason
@@ -590,6 +595,10 @@
         lines_bytes = HEADER_LINE_BYTES * self._header_lines
         return lines_bytes + self._header_text_bytes + len(self._target)
 
+    def report_usage(self) -> None:
+        """Report that the connection holds less than before."""
+        self._settle()
+
     # Parser callbacks
 
     def on_message_begin(self) -> None:
--- a/src/shallotroad/http_server/memory_account.py
+++ b/src/shallotroad/http_server/memory_account.py
@@ -24,12 +24,11 @@
 MAX_PROCESS_SHARE = 0.8
 # What the process itself takes on a large fleet, without callers.
 PROCESS_BYTES = 57 * BYTES_PER_MB
-# Resident memory is larger than the bytes that are counted, for what the allocator
-# can't give back, connections to endpoints and bytes on their way between buffers: 300
-# clients that pipeline without reading take 35 MB that are not counted.
-COUNTED_SHARE = 0.5
+# What is not counted: connections to endpoints, gaps in the heap and bytes on their way
+# between buffers. 300 clients that pipeline without reading make it about this large.
+UNCOUNTED_BYTES = 33 * BYTES_PER_MB
 # Lower bound of the limit, with which a body of the default size limit is still served.
-MIN_LIMIT_BYTES = 10 * BYTES_PER_MB
+MIN_LIMIT_BYTES = 16 * BYTES_PER_MB
 # Descriptors of the listeners, the store, the other gateways, and the kept connections
 # to endpoints.
 RESERVED_DESCRIPTORS = 64
@@ -41,7 +40,7 @@
 # smaller, so that they never wait.
 SMALL_BODY_BYTES = 32_768
 # Large bodies get room while not more than this share of the limit is in use.
-ROOM_SHARE = 0.85
+ROOM_SHARE = 0.92
 # While more than this share is in use, connections without progress are closed.
 CONTENTION_SHARE = 0.7
 # Progress of a sender or reader: bytes that it sends or receives within a time.
@@ -135,10 +134,11 @@
     @classmethod
     def for_process(cls, *, memory_mb: float, descriptors: int) -> MemoryAccount:
         """Return the account of a process with these limits in its settings."""
-        usable_bytes = MAX_PROCESS_SHARE * memory_mb * BYTES_PER_MB - PROCESS_BYTES
+        usable_bytes = MAX_PROCESS_SHARE * memory_mb * BYTES_PER_MB
+        limit_bytes = int(usable_bytes) - PROCESS_BYTES - UNCOUNTED_BYTES
         callers = (descriptors - RESERVED_DESCRIPTORS) // DESCRIPTORS_PER_CALLER
         return cls(
-            max_bytes=max(MIN_LIMIT_BYTES, int(COUNTED_SHARE * usable_bytes)),
+            max_bytes=max(MIN_LIMIT_BYTES, limit_bytes),
             max_connections=max(MIN_CONNECTIONS, callers),
         )
 
