--- a/src/shallotroad/policy/failing_endpoints.py
+++ b/src/shallotroad/policy/failing_endpoints.py
@@ -49,8 +49,8 @@
 # seconds is detected before it counts as usual. The first ones weigh more.
 USUAL_SHARE_SAMPLE_WEIGHT = 0.001
 INITIAL_USUAL_SHARE_REQUESTS = 50
-# Log likelihood ratio at which the test decides. By chance, that is without a rise in
-# failures, it takes over a million outcomes at the usual shares.
+# Log likelihood ratio at which the test decides: after four failures at least, so that
+# a crash or a few lost requests decide nothing.
 DECISION_LOG_RATIO = 8.0
 # Without outcomes, the sum halves in this time.
 LOG_RATIO_HALF_LIFE_S = 10.0
@@ -66,7 +66,7 @@
 SOUND_REQUESTS = 4
 MAX_SOUND_SHARE = 1 / 3
 # A service that fails has recovered once the log likelihood ratio is below this: after
-# ten requests without a failure, or more if there were some.
+# thirteen requests without a failure, or more if there were some.
 RECOVERY_LOG_RATIO = 1.0
 # Expected duration of a failure of all endpoints of a service.
 MIN_FAILING_S = 3.0
