Give no place to callers refused while a whole service fails

Cause: a request held until its service recovers does not wait for engines, so a place is of no use to it, and its caller's early return must not be told to wait for room. Tests of failing endpoints, messages and shares pass.

--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -473,7 +473,11 @@
             has_returned=has_returned,
         )
         self._begin_competition(queued, now_s)
-        if request.refusable and not has_place:
+        if (
+            request.refusable
+            and not has_place
+            and not self._endpoint_registry.holds(request, now_s)
+        ):
             refusal = self._refusal_at_submit(queued, now_s)
             if refusal is not None:
                 on_refused(refusal)
@@ -496,11 +500,7 @@
         if key is None or place is None:
             return None, None
         if is_early(place, now_s):
-            # While the service fails, requests wait for its recovery and not for room.
-            waits_for_room = not self._endpoint_registry.failing_s(request, now_s)
-            if not waits_for_room or not any(
-                queued.request.cell == request.cell for queued in self._queue
-            ):
+            if not any(queued.request.cell == request.cell for queued in self._queue):
                 return None, None
             self.decisions["returned early"] += 1
             remaining_s = min(place.due_s - now_s, self._max_retry_after_s(request))
@@ -603,7 +603,11 @@
         If the caller may wait until its turn outside the queue, it gets a place then.
         """
         request = queued.request
-        wait_s = max(wait_s, self._endpoint_registry.failing_s(request, now_s))
+        failing_s = self._endpoint_registry.failing_s(request, now_s)
+        if failing_s:
+            # Not for lack of engines, so no place is of use.
+            wait_s = min(max(wait_s, failing_s), self.retry_after_s(request))
+            return RefusedError(reason, retry_after_s=max(MIN_RETRY_AFTER_S, wait_s))
         last_retry_after_s = max(MIN_RETRY_AFTER_S, self._max_retry_after_s(request))
         retry_after_s = max(MIN_RETRY_AFTER_S, min(wait_s, last_retry_after_s))
         key = return_key(request)
