--- a/tests/unit/gateway/coordination/test_messages.py
+++ b/tests/unit/gateway/coordination/test_messages.py
@@ -102,9 +102,10 @@
     assert (received.request.team, received.request.route) == ("clinic", "r1")
 
 
-def test_a_request_of_the_version_before_has_no_team_and_no_route() -> None:
+@pytest.mark.parametrize("length", [17, 19])
+def test_a_request_of_the_version_before_has_no_team_and_no_route(length: int) -> None:
     row = submit_row()
-    row[3] = row[3][:17]
+    row[3] = row[3][:length]
     received = decode(orjson.dumps(row), 100.0)
     assert isinstance(received, Submit)
     assert (received.request.team, received.request.route) == ("", "")
