--- a/src/shallotroad/catalog/configuration.py
+++ b/src/shallotroad/catalog/configuration.py
@@ -55,8 +55,8 @@
         Latency objective, counted from the arrival; for streams, of the first event.
         It orders the queued requests of equal tiers and bounds the time of streams in
         the queue. A request may join an engine only if the engine's backlog, in
-        milliseconds, is at most ``gateway.admission.MAX_BACKLOG_OBJECTIVE_SHARE`` of
-        the objective.
+        milliseconds, is at most ``MAX_BACKLOG_OBJECTIVE_SHARE`` of the objective
+        (``gateway.placement_round``).
     max_attempts : int
         Maximum number of endpoints that may run one request.
     tier : int
--- a/src/shallotroad/gateway/admission.py
+++ b/src/shallotroad/gateway/admission.py
@@ -24,24 +24,23 @@
 import asyncio
 import math
 from collections import Counter
-from collections import deque
 from typing import TYPE_CHECKING
 
 from shallotroad.gateway.exceptions import RefusedError
+from shallotroad.gateway.placement_round import PlacementRound
+from shallotroad.gateway.placement_round import has_room
+from shallotroad.gateway.queue_estimate import QueueEstimate
 from shallotroad.observability.event_log import log_event
 from shallotroad.policy.data_centre_balance import DataCentreBalance
 from shallotroad.policy.endpoint_load import GAP_SENSITIVE_STEPS_PER_TOKEN
 from shallotroad.policy.endpoint_rate import MIN_STATED_PER_S
 from shallotroad.policy.endpoint_rate import STATED_LIMIT_FRACTION
-from shallotroad.policy.engine_model import NOMINAL_MODEL
 from shallotroad.policy.engine_model import Prefill
-from shallotroad.policy.failing_endpoints import avoid_open_circuits
 from shallotroad.policy.fair_shares import FairShares
 from shallotroad.policy.fair_shares import TierKey
 from shallotroad.policy.placement import EngineView
 from shallotroad.policy.placement import Placement
 from shallotroad.policy.placement import rank_engines
-from shallotroad.policy.placement import view_engine
 from shallotroad.policy.recent_parts import RecentParts
 from shallotroad.policy.return_places import ReturnPlace
 from shallotroad.policy.return_places import ReturnPlaces
@@ -65,28 +64,6 @@
     from shallotroad.policy.placement import RankedEngine
     from shallotroad.policy.placement_request import PlacementRequest
 
-# Maximum prefill backlog of an engine: the expected time to prefill the prompts that
-# wait there, plus the lateness of an overdue first event; 0 once no request awaits its
-# first event. Prompts beyond the limit stay in this queue, where more urgent requests
-# can overtake them.
-MAX_BACKLOG_MS = 350.0
-# The limit MAX_PREFILL_DEBT_MS rises by this many ms per ms since the request arrived
-# (earlier attempts included), so that no prompt waits long for an engine with little
-# debt.
-PREFILL_DEBT_GROWTH = 0.6
-# A gap-tolerant prompt is not placed on a shared engine with more prefill debt than
-# this. Prefill debt is the prefill time placed on an engine beyond its prefill share of
-# the time that passed (EndpointLoad.debt_ms); unlike the backlog, it does not end with
-# the first events.
-MAX_PREFILL_DEBT_MS = 400.0
-# The backlog limit is at most this share of the request's objective; with a longer
-# backlog, another engine or further queueing gives an earlier first event.
-MAX_BACKLOG_OBJECTIVE_SHARE = 0.8
-# After this share of its objective, a gap-tolerant request may use a reserved engine.
-RESERVED_AFTER_OBJECTIVE_SHARE = 0.6
-# A gap-tolerant prompt goes to a reserved engine only if at most this many requests are
-# in flight there, because its prefill stalls their streams.
-MAX_RUNNING_ON_RESERVED = 6
 QUEUE_LOG_INTERVAL_S = 1.0
 # The shares that may leave a data centre are logged when one has changed by this much.
 LOGGED_SHARE_CHANGE = 0.1
@@ -193,146 +170,6 @@
         return self.request._replace(waits_since_s=self.waits_since_s)
 
 
-class PlacementRound:
-    """Snapshots of endpoint loads at one time, shared by the placements of a dispatch.
-
-    An ``EngineView`` holds the load of one endpoint, with or without an engine. Views
-    are computed once per cell and refreshed for an endpoint that was given a
-    request. ``Admission.submit`` uses a round for its one request.
-    """
-
-    def __init__(self, *, endpoint_registry: EndpointRegistry, now_s: float) -> None:
-        self._endpoint_registry = endpoint_registry
-        self.now_s = now_s
-        self._views: dict[Cell, list[EngineView]] = {}
-        self._reserved: dict[Cell, frozenset[str]] = {}
-        self._with_open_circuits: set[Cell] = set()
-
-    def _cell_views(self, cell: Cell) -> list[EngineView]:
-        """Return the views of the endpoints of a cell that are not draining."""
-        views = self._views.get(cell)
-        if views is None:
-            reserved = self._reserved[cell] = (
-                self._endpoint_registry.reserved_endpoints(cell)
-            )
-            views = self._views[cell] = [
-                view_engine(load, reserved, self.now_s)
-                for load in self._endpoint_registry.active_loads(cell)
-            ]
-            if not all(view.load.circuit.is_closed for view in views):
-                self._with_open_circuits.add(cell)
-        return views
-
-    def usable_views(self, request: PlacementRequest) -> list[EngineView]:
-        """Return the views of the endpoints that may serve a request.
-
-        Endpoints that are avoided after a connection failure are left out, unless
-        no other endpoint may serve the request. So are those with open circuits, as
-        ``avoid_open_circuits`` says. The list is empty for a request that is held
-        because its whole service fails.
-        """
-        if self._endpoint_registry.holds(request, self.now_s):
-            return []
-        allows = self._endpoint_registry.filter_for(request, self.now_s)
-        allowed = [view for view in self._cell_views(request.cell) if allows(view.load)]
-        reachable = [v for v in allowed if v.load.avoided_until_s <= self.now_s]
-        usable = reachable or allowed
-        if request.cell not in self._with_open_circuits:
-            return usable
-        waited_ms = (self.now_s - request.arrival_s) * 1000
-        return avoid_open_circuits(
-            usable,
-            repeatable=request.spare_attempts > 0,
-            waited_share=waited_ms / max(1.0, request.objective_ms),
-            now_s=self.now_s,
-            has_room=lambda view: (
-                view.running < view.load.record.slots
-                and _has_room(request, view, self.now_s)
-            ),
-        )
-
-    def refresh(self, cell: Cell, load: EndpointLoad) -> None:
-        """Recompute the view of an endpoint that was given a request."""
-        self._views[cell] = [
-            view_engine(load, self._reserved[cell], self.now_s)
-            if view.load is load
-            else view
-            for view in self._views.get(cell, ())
-        ]
-
-
-class QueueEstimate:
-    """Expected wait in the queue for the engines of a cell.
-
-    Parameters
-    ----------
-    loads : sequence of EndpointLoad
-        The engines that serve the queue.
-    promised : sequence of ReturnPlace
-        Places of callers that are to return, the earliest first.
-    """
-
-    def __init__(
-        self,
-        *,
-        loads: Sequence[EndpointLoad],
-        now_s: float,
-        promised: Sequence[ReturnPlace] = (),
-    ) -> None:
-        self._now_s = now_s
-        # Places by the tiers of their callers, each in the order of their times.
-        self._promised: dict[tuple[int, int], deque[ReturnPlace]] = {}
-        for place in promised:
-            self.add_promised(place)
-        self._share_sum = sum(load.prefill_share for load in loads)
-        self._slowness = sum(load.slowness for load in loads) / max(1, len(loads))
-        self._share = self._share_sum / max(1, len(loads))
-        self._work_ms = sum(load.backlog_ms(now_s) for load in loads)
-        self._overhead_ms = (
-            loads[0].model if loads else NOMINAL_MODEL
-        ).first_event_overhead_ms
-
-    def add(self, prefill_ms: float) -> None:
-        """Add a queued prompt, whose prefill takes this long at slowness 1."""
-        self._work_ms += prefill_ms * self._slowness
-
-    def add_promised(self, place: ReturnPlace) -> None:
-        """Add a place that was promised now."""
-        self._promised.setdefault(place.tiers, deque()).append(place)
-
-    def add_due_places(self, tiers: tuple[int, int]) -> None:
-        """Add the work of places that come before a request of these tiers.
-
-        These are the places of its tiers or more urgent ones that are due before the
-        engines have prefilled what waits for them so far.
-        """
-        if not self._promised or not self._share_sum:
-            return
-        for place_tiers, places in self._promised.items():
-            if place_tiers > tiers:
-                continue
-            while places and places[0].due_s <= self._now_s + self.wait_s:
-                self.add(places.popleft().work_ms)
-
-    def engine_ms(self, time_s: float) -> float:
-        """Return the prefill time at slowness 1 that the engines have in a time."""
-        return time_s * 1000.0 * self._share_sum / max(0.001, self._slowness)
-
-    @property
-    def wait_s(self) -> float:
-        """Time until the engines have prefilled what waits for them so far."""
-        if not self._share_sum:
-            return 0.0
-        return self._work_ms / self._share_sum / 1000.0
-
-    def prefill_s(self, prefill_ms: float) -> float:
-        """Return the time from the start of a prompt to its first event."""
-        if not self._share:
-            return 0.0
-        engine_ms = prefill_ms * self._slowness / self._share
-        return (engine_ms + self._overhead_ms) / 1000.0
-
-
 class Admission:
     """Places requests on endpoints, and queues them while none has room.
 
@@ -986,7 +823,7 @@
         if preference is None or not any(
             view.load.record.data_centre == data_centre
             and view.running < view.load.record.slots
-            and _has_room(request, view, now_s)
+            and has_room(request, view, now_s)
             for view in views
         ):
             return None
@@ -1028,7 +865,7 @@
         The placement is already counted in the load. Usable endpoints are tried by
         cost, the lowest first; one without a free slot or a cold-start permit is
         skipped. For a service with an engine, the search ends with None at the first
-        engine that has a free slot but no room (``_has_room``), which may be a reserved
+        engine that has a free slot but no room (``has_room``), which may be a reserved
         one that the request may not use: engines after it cost more, and queueing is
         cheaper than prefilling there. If that engine was preferred for its data centre,
         the search is repeated at the constant costs (``balanced`` False), so that no
@@ -1037,7 +874,7 @@
         service = self._catalog.service(request.service)
         views = placement_round.usable_views(request)
         if service.engine is not None and not any(
-            _has_room(request, view, placement_round.now_s) for view in views
+            has_room(request, view, placement_round.now_s) for view in views
         ):
             return None
         shared_parts = request.profile.parts[:-1]
@@ -1056,7 +893,7 @@
             load = ranked.view.load
             if load.running >= load.record.slots:
                 continue
-            if service.engine is not None and not _has_room(
+            if service.engine is not None and not has_room(
                 request, ranked.view, placement_round.now_s
             ):
                 if local is not None:
@@ -1140,32 +977,6 @@
         )
 
 
-def _has_room(request: PlacementRequest, view: EngineView, now_s: float) -> bool:
-    """Return whether an engine may be sent the prompt of a request now.
-
-    A gap-tolerant request may use a reserved engine only after
-    ``RESERVED_AFTER_OBJECTIVE_SHARE`` of its objective, and only if that engine
-    has no backlog, no prefill debt and at most ``MAX_RUNNING_ON_RESERVED`` requests in
-    flight. On a
-    shared engine its prefill debt is limited as well as the backlog.
-    """
-    waited_ms = (now_s - request.arrival_s) * 1000
-    # What waits behind it may already use an engine with this much debt.
-    debt_waited_ms = (now_s - min(request.arrival_s, request.waits_since_s)) * 1000
-    gap_tolerant = request.profile.gap_tolerant
-    if gap_tolerant and view.reserved:
-        late = waited_ms > RESERVED_AFTER_OBJECTIVE_SHARE * request.objective_ms
-        idle = view.backlog_ms <= 0 and view.debt_ms <= 0
-        return late and idle and view.running <= MAX_RUNNING_ON_RESERVED
-    if (
-        gap_tolerant
-        and view.debt_ms > MAX_PREFILL_DEBT_MS + PREFILL_DEBT_GROWTH * debt_waited_ms
-    ):
-        return False
-    limit_ms = min(MAX_BACKLOG_MS, MAX_BACKLOG_OBJECTIVE_SHARE * request.objective_ms)
-    return view.backlog_ms <= limit_ms
-
-
 def _tier_key(request: PlacementRequest) -> TierKey:
     return TierKey(request.cell, request.tier, request.route_tier)
 
--- a/tests/unit/gateway/test_failing_endpoints.py
+++ b/tests/unit/gateway/test_failing_endpoints.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-import shallotroad.gateway.admission as admission_module
+import shallotroad.gateway.placement_round as placement_round_module
 from shallotroad.policy.failing_endpoints import Circuit
 from shallotroad.policy.failing_endpoints import ServiceFailures
 from tests.failing_alternatives import hold_until_objective
@@ -162,7 +162,9 @@
         after = await play(seed, share=0.0, usual_share=usual_share)
         remove_circuits(without_circuits)
         without_circuits.setattr(
-            admission_module, "avoid_open_circuits", lambda views, **_: list(views)
+            placement_round_module,
+            "avoid_open_circuits",
+            lambda views, **_: list(views),
         )
         before = await play(seed, share=0.0, usual_share=usual_share)
         without_circuits.undo()
--- a/tests/unit/gateway/test_team_beyond_its_share.py
+++ b/tests/unit/gateway/test_team_beyond_its_share.py
@@ -23,7 +23,7 @@
 HEAVY = TeamLoad("heavy", BEYOND * USUAL_PER_S)
 # First attempts of the quiet teams that are served, less than without the load.
 MAX_LOST_SHARE = 0.05
-# Shares may cost a twentieth of the answers: fewer waiting prompts are cached somewhere.
+# Shares may cost a twentieth of the answers: fewer waiting prompts are cached.
 MIN_WHOLE_SHARE = 0.95
 LOAD_S = 12.0
 
