--- a/review/common-2/parts.py
+++ b/review/common-2/parts.py
@@ -27,6 +27,15 @@
 TENANT = "tenant-1"
 
 
+def _end(*_: object) -> None:
+    """End the script, so that what it has started is closed."""
+    raise SystemExit(2)
+
+
+for ending_signal in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+    signal.signal(ending_signal, _end)
+
+
 def trouble() -> bool:
     """Return whether the disruption is to be played."""
     return os.environ.get("TROUBLE", "1") != "0"
