--- a/review/common-2/parts.py
+++ b/review/common-2/parts.py
@@ -20,6 +20,7 @@
 import tomllib
 from pathlib import Path
 
+
 REPOSITORY = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
 CLIENT_HOST = "site.example"
@@ -60,6 +61,7 @@
         self._start_s = time.monotonic()
 
     def add(self, text: str) -> None:
+        """Write a line with the time since the start."""
         self._file.write(f"{time.monotonic() - self._start_s:8.3f} {text}\n")
         self._file.flush()
 
@@ -71,7 +73,9 @@
     return lines[0], {name.strip().lower(): value.strip() for name, _, value in pairs}
 
 
-async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
+async def read_message(
+    reader: asyncio.StreamReader,
+) -> tuple[str, dict[str, str], bytes]:
     """Return the first line, headers and body of a message with a stated length."""
     head = await reader.readuntil(b"\r\n\r\n")
     line, headers = parse_head(head)
@@ -91,10 +95,12 @@
         self.port = 0
 
     async def start(self) -> None:
+        """Listen on a free port."""
         self._server = await asyncio.start_server(self._serve, HOST, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def put(self, key: str, value: object) -> None:
+        """Write an item."""
         self.revision += 1
         data = json.dumps(value).encode()
         self._items[key] = (data, self.revision)
@@ -102,6 +108,7 @@
         self._wake()
 
     def remove(self, key: str) -> None:
+        """Remove an item."""
         self.revision += 1
         del self._items[key]
         self._events.append({"key": key, "revision": self.revision, "removed": True})
@@ -198,6 +205,8 @@
         self.log = folder / f"{name}.log"
 
     def write_settings(self) -> Path:
+        """Write the settings file and return its path."""
+
         def table(values: dict[str, object]) -> str:
             return "".join(f"{k} = {json.dumps(v)}\n" for k, v in values.items())
 
@@ -233,6 +242,7 @@
         return path
 
     def start(self) -> None:
+        """Start the process with the command of the deploy file."""
         deploy = tomllib.loads((REPOSITORY / "deploy/system.toml").read_text())
         role = deploy["roles"]["gateway"]
         environment = {
@@ -256,9 +266,12 @@
             )
 
     async def wait_ready(self, timeout_s: float = 10.0) -> bool:
+        """Return whether the process became ready in time."""
         end_s = time.monotonic() + timeout_s
         while time.monotonic() < end_s:
-            with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+            with contextlib.suppress(
+                OSError, asyncio.IncompleteReadError, TimeoutError
+            ):
                 reader, writer = await asyncio.open_connection(HOST, self.ready)
                 writer.write(b"GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
                 line = await asyncio.wait_for(reader.readline(), 1.0)
@@ -270,6 +283,7 @@
 
     @property
     def running(self) -> bool:
+        """Whether the process runs."""
         return self.process is not None and self.process.poll() is None
 
     def resident_mb(self) -> float:
@@ -277,16 +291,20 @@
         if not self.running:
             return 0.0
         with contextlib.suppress(OSError):
-            for line in Path(f"/proc/{self.process.pid}/status").read_text().split("\n"):
+            for line in (
+                Path(f"/proc/{self.process.pid}/status").read_text().split("\n")
+            ):
                 if line.startswith("VmRSS:"):
                     return int(line.split()[1]) * 1024 / 1e6
         return 0.0
 
     def kill(self, number: int = signal.SIGKILL) -> None:
+        """Send a signal to the process if it runs."""
         if self.running:
             self.process.send_signal(number)
 
     def close(self) -> None:
+        """Kill the process and wait for its end."""
         if self.process is not None:
             with contextlib.suppress(ProcessLookupError):
                 self.process.kill()
--- a/review/common-2/streams.py
+++ b/review/common-2/streams.py
@@ -72,7 +72,13 @@
     """
 
     def __init__(
-        self, *, name: str, tokens_per_ms: float, step_ms: float, stride: int, record: Record
+        self,
+        *,
+        name: str,
+        tokens_per_ms: float,
+        step_ms: float,
+        stride: int,
+        record: Record,
     ) -> None:
         self.name = name
         self.tokens_per_ms = tokens_per_ms
@@ -87,6 +93,7 @@
         self.received: set[str] = set()
 
     async def start(self) -> None:
+        """Listen on a free port."""
         server = await asyncio.start_server(self._serve, HOST, 0, backlog=1024)
         self.port = server.sockets[0].getsockname()[1]
 
