Read the newest documents, not all versions, when behind the store

Callers saw requests handled by a configuration that was older than the bound allows (CONFIG).

A reader that falls silent is noticed after 1.4 s; a gateway that begins to read, or whose last call failed, lists the documents; so does one whose last watch was mostly outdated versions. Outdated versions of one batch are not decoded. A page that is being received may take four seconds. Log lines and a gauge show lists, outdated versions and the age of the news.

--- a/src/shallotroad/gateway/metrics.py
+++ b/src/shallotroad/gateway/metrics.py
@@ -191,6 +191,9 @@
             "configuration_version": configuration.version if configuration else 0,
             "store_revision": components.store_watcher.revision,
             "store_connected": int(components.store_watcher.connected),
+            "store_silent_s": round(
+                components.clock() - components.store_watcher.last_contact_s, 3
+            ),
             "store_calls": components.store.request_count,
             "endpoints": len(components.catalog.endpoints),
             "waiting": components.admission.queue_length,
--- a/src/shallotroad/gateway/store_relay.py
+++ b/src/shallotroad/gateway/store_relay.py
@@ -44,15 +44,19 @@
 WATCH_PATH = "/watch"
 READERS_PER_DATA_CENTRE = 2
 # Part of the time in which a change must be in force that is kept for a gateway's own
-# call to the store, after its readers were found out of touch.
-OWN_READ_RESERVE_S = 0.8
+# call to the store, after its readers were found out of touch. On a slow link a list
+# with a large configuration takes most of it.
+OWN_READ_RESERVE_S = 1.4
 # Gateways follow readers only if changes may take at least this long.
 MIN_PROPAGATION_S = 3.0
 # Followers that lose their readers together read the store within this time.
 MAX_SPREAD_S = 0.2
 # Added to the wait of a poll for the network and a busy reader.
 POLL_RESPONSE_TIMEOUT_S = 0.5
-POLL_WAIT_MS = 2_500
+# Time for the rest of a response that has begun.
+POLL_TRANSFER_TIMEOUT_S = 2.0
+# A reader that falls silent is noticed this and POLL_RESPONSE_TIMEOUT_S later.
+POLL_WAIT_MS = 900
 CONNECT_TIMEOUT_S = 0.3
 RETRY_DELAY_S = 0.3
 HTTP_OK = 200
@@ -188,7 +192,9 @@
 class PeerClient(Protocol):
     """Calls one peer; ``HttpClient`` in a gateway."""
 
-    async def call(self, method: str, target: str, *, timeout_s: float) -> CallResult:
+    async def call(
+        self, method: str, target: str, *, timeout_s: float, transfer_timeout_s: float
+    ) -> CallResult:
         """Return the response of the peer."""
 
     def close(self) -> None:
@@ -310,6 +316,7 @@
                 "GET",
                 f"{WATCH_PATH}?{self._store_watcher.revision}&{wait_ms}",
                 timeout_s=wait_ms / 1000 + POLL_RESPONSE_TIMEOUT_S,
+                transfer_timeout_s=POLL_TRANSFER_TIMEOUT_S,
             )
             if result.status != HTTP_OK:
                 raise CallFailedError(f"status {result.status}")
--- a/src/shallotroad/gateway/store_watcher.py
+++ b/src/shallotroad/gateway/store_watcher.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from shallotroad.observability.event_log import log_event
+from shallotroad.platform.documents import CONFIGURATION_KEY
 from shallotroad.platform.documents import ClosureKey
 from shallotroad.platform.documents import ConfigurationKey
 from shallotroad.platform.documents import Document
@@ -37,7 +38,13 @@
 # How long the store holds a watch without a change. A waiting watch learns neither of a
 # compacted history nor of a silent connection: the former is noticed after this time,
 # the latter when the call times out, RESPONSE_TIMEOUT_S of the store client later.
-WATCH_WAIT_MS = 2_000
+# Followers also count on a sign of the store this often.
+WATCH_WAIT_MS = 1_000
+# A watch returns every version of a document, a list only the newest. After a watch
+# with more than this of outdated configurations, the next changes are listed.
+MAX_OUTDATED_BYTES = 65_536
+# So many documents fit on one page of a list, which then costs no more than a watch.
+MAX_LISTED_DOCUMENTS = 450
 # Time after which a watch is aborted that has not returned a revision known to a peer.
 # A peer with a healthy connection may receive a change up to this much earlier.
 STALE_WATCH_TIMEOUT_S = 1.0
@@ -95,6 +102,7 @@
         self.last_contact_s = 0.0
         self._reconnected_s = -REREGISTRATION_TIMEOUT_S
         self._must_read_once = False
+        self._list_next = False
         self._news = asyncio.Event()
         self.reads_store: Callable[[], bool] = lambda: True
 
@@ -177,6 +185,19 @@
         else:
             self._apply_registration(key, document)
 
+    def _apply_changes(self, documents: list[Document]) -> None:
+        """Apply the changes of a watch, of the configuration only the newest."""
+        outdated = [d for d in documents if d.key == CONFIGURATION_KEY][:-1]
+        for document in documents:
+            if document not in outdated:
+                self.apply(document)
+        outdated_bytes = sum(len(document.value or b"") for document in outdated)
+        self._list_next = outdated_bytes > MAX_OUTDATED_BYTES
+        if outdated:
+            log_event(
+                "outdated configurations read", n=len(outdated), bytes=outdated_bytes
+            )
+
     def _evict_removals(self) -> None:
         """Keep only the newest ``RETAINED_REMOVALS`` removals.
 
@@ -299,24 +320,33 @@
         """List and watch the store until cancelled.
 
         A compacted history leads to a new list, and a failed call to a retry with
-        exponential backoff.
+        exponential backoff. What may have changed often since the last call, because
+        that failed or others have read the store until now, is listed as well.
         """
         backoff_s = MIN_BACKOFF_S
         batch_delay_s = BATCH_DELAY_S
         while True:
             if self.revision >= 0 and not (self._must_read_once or self.reads_store()):
+                self._list_next = True
                 await asyncio.sleep(READ_CHECK_INTERVAL_S)
                 continue
             try:
-                if self.revision < 0:
+                if self.revision < 0 or self._should_list():
+                    started_s = self._clock()
                     batch = await self._store.list_documents(self._apply_page)
                     self._record_contact(self._clock())
+                    self._list_next = False
                     self.apply_list(batch)
+                    log_event(
+                        "store listed",
+                        revision=batch.revision,
+                        n=len(batch.documents),
+                        ms=round((self._clock() - started_s) * 1000),
+                    )
                 else:
                     batch = await self._watch()
                     self._record_contact(self._clock())
-                    for document in batch.documents:
-                        self.apply(document)
+                    self._apply_changes(batch.documents)
                 self.revision = max(self.revision, batch.revision)
                 self._must_read_once = False
                 self._behind_since_s = None
@@ -331,9 +361,13 @@
                 self.revision = -1
             except StoreUnavailableError as error:
                 self._record_outage(error)
+                self._list_next = True
                 await asyncio.sleep(backoff_s)
                 backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
 
+    def _should_list(self) -> bool:
+        return self._list_next and len(self._documents) <= MAX_LISTED_DOCUMENTS
+
     async def _watch(self) -> DocumentBatch:
         """Wait for changes and return them.
 
--- a/src/shallotroad/platform/store.py
+++ b/src/shallotroad/platform/store.py
@@ -29,6 +29,8 @@
 RESPONSE_TIMEOUT_S = 1.2
 # A network partition drops packets without an error, so only a timeout detects it.
 CONNECT_TIMEOUT_S = 0.5
+# A page of 1 MB takes this long on a link of 5 Mbit/s that also has other traffic.
+PAGE_TRANSFER_TIMEOUT_S = 4.0
 
 
 class DocumentBatch(NamedTuple):
@@ -104,7 +106,12 @@
             query = {"prefix": ""}
             if after:
                 query["after"] = after
-            payload = await self._get("/api/kv-range", query, RESPONSE_TIMEOUT_S)
+            payload = await self._get(
+                "/api/kv-range",
+                query,
+                RESPONSE_TIMEOUT_S,
+                transfer_timeout_s=PAGE_TRANSFER_TIMEOUT_S,
+            )
             page = [d for d in map(_decode_document, payload.get("items") or ()) if d]
             if revision < 0:
                 revision = int(payload.get("store-revision", 0))
@@ -139,13 +146,21 @@
         return DocumentBatch(int(payload.get("store-revision", after)), documents)
 
     async def _get(
-        self, path: str, query: dict[str, str], timeout_s: float
+        self,
+        path: str,
+        query: dict[str, str],
+        timeout_s: float,
+        *,
+        transfer_timeout_s: float = 0.0,
     ) -> dict[str, Any]:
         self.request_count += 1
         client = self._client
         try:
             result = await client.call(
-                "GET", f"{path}?{urlencode(query)}", timeout_s=timeout_s
+                "GET",
+                f"{path}?{urlencode(query)}",
+                timeout_s=timeout_s,
+                transfer_timeout_s=transfer_timeout_s,
             )
         except CallFailedError as error:
             raise StoreUnavailableError(f"{path}: {error}") from error
--- a/tests/store_builders.py
+++ b/tests/store_builders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from typing import TYPE_CHECKING
 from typing import Any
@@ -21,6 +22,7 @@
 from shallotroad.platform.exceptions import RevisionCompactedError
 from shallotroad.platform.exceptions import StoreUnavailableError
 from shallotroad.platform.settings import Address
+from shallotroad.platform.store import PAGE_TRANSFER_TIMEOUT_S
 from shallotroad.platform.store import RESPONSE_TIMEOUT_S
 from shallotroad.platform.store import DocumentBatch
 from shallotroad.platform.store import StoreClient
@@ -45,10 +47,11 @@
 
     A gateway in ``silenced`` sends calls that get no response; one in ``refused``
     gets an error at once. The watches of one in ``stuck`` never end, not even by a
-    timeout.
+    timeout. Each gateway receives ``link_bytes_per_s`` from the store.
     """
 
     def __init__(self) -> None:
+        self.link_bytes_per_s = math.inf
         self.changes: list[Document] = []
         self.compacted_revision = 0
         self.calls: dict[str, int] = {}
@@ -73,6 +76,11 @@
         newest = {document.key: document for document in self.changes}
         return [d for d in newest.values() if d.value is not None]
 
+    def transfer_s(self, documents: list[Document]) -> float:
+        """Return the time that the values take on the link of a gateway, as base64."""
+        size_bytes = sum(len(d.value or b"") for d in documents)
+        return 4 / 3 * size_bytes / self.link_bytes_per_s
+
     async def wait_for_change(self, timeout_s: float) -> None:
         try:
             async with asyncio.timeout(timeout_s):
@@ -102,12 +110,17 @@
         self, on_page: Callable[[list[Document]], None]
     ) -> DocumentBatch:
         await self._begin_call(RESPONSE_TIMEOUT_S)
-        documents = self._store.documents()
+        revision, documents = self._store.revision, self._store.documents()
+        transfer_s = self._store.transfer_s(documents)
+        await asyncio.sleep(min(transfer_s, PAGE_TRANSFER_TIMEOUT_S))
+        if transfer_s > PAGE_TRANSFER_TIMEOUT_S:
+            raise StoreUnavailableError("no complete response")
         on_page(documents)
-        return DocumentBatch(self._store.revision, documents)
+        return DocumentBatch(revision, documents)
 
     async def watch(self, after: int, *, wait_ms: int) -> DocumentBatch:
         timeout_s = wait_ms / 1000 + RESPONSE_TIMEOUT_S
+        ends_s = asyncio.get_running_loop().time() + timeout_s
         await self._begin_call(timeout_s)
         if self._name in self._store.stuck:
             await asyncio.sleep(3600)
@@ -118,7 +131,13 @@
         if self._name in self._store.silenced:
             await asyncio.sleep(timeout_s)
             raise StoreUnavailableError("no response")
-        return DocumentBatch(self._store.revision, self._store.changes[after:])
+        revision, changes = self._store.revision, self._store.changes[after:]
+        transfer_s = self._store.transfer_s(changes)
+        remaining_s = ends_s - asyncio.get_running_loop().time()
+        await asyncio.sleep(min(transfer_s, remaining_s))
+        if transfer_s > remaining_s:
+            raise StoreUnavailableError("no complete response")
+        return DocumentBatch(revision, changes)
 
 
 class StoreGateway(NamedTuple):
@@ -238,7 +257,9 @@
         self._name = name
         self._address = address
 
-    async def call(self, method: str, target: str, *, timeout_s: float) -> CallResult:
+    async def call(
+        self, method: str, target: str, *, timeout_s: float, transfer_timeout_s: float
+    ) -> CallResult:
         peer = self._data_centre.by_address(self._address)
         try:
             async with asyncio.timeout(timeout_s):
@@ -248,6 +269,11 @@
                 await self._cross()
         except TimeoutError:
             raise CallFailedError("no response") from None
+        store = self._data_centre.store
+        transfer_s = len(response.body) / store.link_bytes_per_s
+        await asyncio.sleep(min(transfer_s, transfer_timeout_s))
+        if transfer_s > transfer_timeout_s:
+            raise CallFailedError("no complete response")
         return CallResult(response.status, response.body)
 
     async def _cross(self) -> None:
--- /dev/null
+++ b/tests/unit/gateway/test_change_in_force_in_time.py
@@ -0,0 +1,96 @@
+"""Changes of a large configuration reach gateways with slow links within the bound.
+
+Both gateways that read the store for their data centre are cut off in the middle of a
+series of versions, and every other gateway has a link of 10 Mbit/s.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.configuration_builders import configuration_fields
+from tests.store_builders import DataCentre
+from tests.virtual_time import VirtualTimePolicy
+
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+GATEWAYS = 6
+PROPAGATION_S = 3.0
+ROUTES = 1_200
+VERSIONS = 26
+GAP_S = 0.33
+SLOW_LINK_BYTES_PER_S = 10_000_000 / 8
+
+
+@pytest.fixture
+def event_loop_policy() -> VirtualTimePolicy:
+    return VirtualTimePolicy()
+
+
+@pytest.fixture
+async def centre() -> AsyncIterator[DataCentre]:
+    data_centre = DataCentre(GATEWAYS, propagation_s=PROPAGATION_S)
+    data_centre.store.put("op/config", configuration_fields(1, routes=ROUTES))
+    data_centre.start()
+    for number in range(16):  # So that the readers have news until they are cut off.
+        await asyncio.sleep(0.6)
+        data_centre.store.put("servers/i1", {"sequence": number})
+    data_centre.store.link_bytes_per_s = SLOW_LINK_BYTES_PER_S
+    yield data_centre
+    await data_centre.stop()
+
+
+async def latest_adoption_s(
+    centre: DataCentre, names: list[str], *, first_version: int
+) -> float:
+    """Write versions in quick succession; return the longest time to adopt one."""
+    loop = asyncio.get_running_loop()
+    acknowledged_s: dict[int, float] = {}
+    longest_s = 0.0
+    last_version = first_version + VERSIONS - 1
+    started_s = loop.time()
+    while True:
+        version = first_version + len(acknowledged_s)
+        due_s = started_s + len(acknowledged_s) * GAP_S
+        if version <= last_version and loop.time() >= due_s:
+            centre.store.put("op/config", configuration_fields(version, routes=ROUTES))
+            acknowledged_s[version] = loop.time()
+        in_force = [
+            configuration.version
+            for name in names
+            if (configuration := centre.gateways[name].catalog.configuration)
+        ]
+        for version, written_s in acknowledged_s.items():
+            if min(in_force) < version:
+                longest_s = max(longest_s, loop.time() - written_s)
+        if min(in_force) == last_version or longest_s > 20.0:
+            return longest_s
+        await asyncio.sleep(0.02)
+
+
+# Guards against CONFIG: a version in force long after a newer one was acknowledged.
+async def test_versions_are_in_force_in_time_while_both_readers_are_cut_off(
+    centre: DataCentre,
+) -> None:
+    readers, followers = centre.readers(), centre.followers()
+    centre.cut_off.update(readers)
+    centre.store.silenced.update(readers)
+    longest_s = await latest_adoption_s(centre, followers, first_version=2)
+    assert longest_s < PROPAGATION_S
+
+
+# Guards against CONFIG: a gateway that never catches up over a slow link (review/3).
+async def test_a_gateway_that_reads_over_a_slow_link_catches_up_in_time() -> None:
+    data_centre = DataCentre(1, propagation_s=PROPAGATION_S)
+    data_centre.store.put("op/config", configuration_fields(1, routes=ROUTES))
+    data_centre.start()
+    await asyncio.sleep(10.0)
+    data_centre.store.link_bytes_per_s = SLOW_LINK_BYTES_PER_S
+    longest_s = await latest_adoption_s(data_centre, ["g0"], first_version=2)
+    await data_centre.stop()
+    assert longest_s < PROPAGATION_S
--- a/tests/unit/gateway/test_store_watcher.py
+++ b/tests/unit/gateway/test_store_watcher.py
@@ -47,7 +47,10 @@
 
 
 class SilentWatchStore(StoreClient):
-    """Returns an empty list; its first watch never returns."""
+    """Returns an empty list; its first watch never returns.
+
+    Later lists and the second watch return the changes.
+    """
 
     def __init__(self, changes: list[Document]) -> None:
         super().__init__(address=UNREACHABLE)
@@ -57,7 +60,8 @@
     async def list_documents(
         self, on_page: Callable[[list[Document]], None]
     ) -> DocumentBatch:
-        return DocumentBatch(1, [])
+        changes = self.changes if self.watches else []
+        return DocumentBatch(1 + len(changes), changes)
 
     async def watch(self, after: int, *, wait_ms: int) -> DocumentBatch:
         self.watches += 1
