Fetch newer documents from peers, and compress what gateways relay

Callers saw requests handled by an old configuration (CONFIG) at gateways whose own way to the store hung, though peers knew the newer document: gossip carries the revision, but nothing fetched the documents while the last call to the store counted as a success.

A gateway that has known for 0.4 s of a newer revision, or has no fresh sign of the store, fetches the documents from the peer that has them, in either direction of an exchange. Texts are relayed as they are, compressed once for all followers that ask for the same revision. Gateways of the version before refuse such a response, and theirs is refused here: both then read the store themselves.

The new test fails when nothing is fetched, and holds with it.

--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -269,6 +269,7 @@
         store_watcher=store_watcher,
         crash_exchange=crash_exchange,
         engine_models=engine_models,
+        fetch_documents=store_follower.fetch_from,
         clock=clock,
         rng=rng,
     )
--- a/src/shallotroad/gateway/gossip.py
+++ b/src/shallotroad/gateway/gossip.py
@@ -2,7 +2,7 @@
 
 Each round posts the known members, store revision and crash facts to a random member,
 and to a seed while some seed is not a known member, and merges the responses. A gateway
-that can't read the store fetches newer documents from the peer.
+that hears of newer documents later than the peer fetches them from it.
 """
 
 from __future__ import annotations
@@ -15,8 +15,6 @@
 import orjson
 from loguru import logger
 
-from shallotroad.gateway.store_relay import documents_to_rows
-from shallotroad.gateway.store_relay import rows_to_documents
 from shallotroad.http_server.exceptions import BodyTooLargeError
 from shallotroad.http_server.message import Response
 from shallotroad.observability.event_log import log_event
@@ -25,6 +23,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
     from random import Random
 
@@ -40,7 +39,6 @@
 FAN_OUT = 1
 EXCHANGE_TIMEOUT_S = 0.5
 EXCHANGE_PATH = "/exchange"
-SNAPSHOT_PATH = "/snapshot"
 # Level of zlib. Rows differ little, so higher levels save no more bytes.
 COMPRESSION_LEVEL = 1
 MAX_STATE_BYTES = 1_000_000  # About ten thousand members.
@@ -89,6 +87,11 @@
 
     A round contacts ``FAN_OUT`` random members, and one seed while some seed is not a
     known member.
+
+    Parameters
+    ----------
+    fetch_documents : callable
+        Applies the newer documents of the peer at an address.
     """
 
     def __init__(
@@ -98,6 +101,7 @@
         store_watcher: StoreWatcher,
         crash_exchange: CrashExchange,
         engine_models: EngineModels,
+        fetch_documents: Callable[[str], Awaitable[None]],
         clock: Callable[[], float],
         rng: Random,
     ) -> None:
@@ -105,6 +109,8 @@
         self._store_watcher = store_watcher
         self._crash_exchange = crash_exchange
         self._engine_models = engine_models
+        self._fetch_documents = fetch_documents
+        self._fetching: asyncio.Future[None] | None = None
         self._clock = clock
         self._rng = rng
 
@@ -138,22 +144,19 @@
         return state
 
     async def handle(self, request: ServerRequest) -> Response:
-        """Respond to a peer's request for an exchange or for newer documents.
+        """Respond to a peer's request for an exchange.
 
         The status is 400 for a malformed exchange and 404 for another path.
         """
         if request.path == EXCHANGE_PATH:
             try:
-                self._merge_state(await request.read_body(MAX_STATE_BYTES))
+                state = self._merge_state(await request.read_body(MAX_STATE_BYTES))
             except (BodyTooLargeError, KeyError, TypeError, ValueError) as error:
                 logger.bind(why=repr(error)).warning("malformed exchange")
                 return Response(400)
+            if state["members"]:
+                self._fetch_if_behind(state, str(state["members"][0][1]))
             return Response(200, body=self._encode_own_state())
-        if request.path == SNAPSHOT_PATH:
-            after = request.target.partition("?after=")[2]
-            revision = int(after) if after.isdigit() else -1
-            rows = documents_to_rows(self._store_watcher.snapshot(revision))
-            return Response(200, body=orjson.dumps(rows))
         return Response(404)
 
     async def exchange_periodically(self) -> None:
@@ -181,11 +184,7 @@
                 timeout_s=EXCHANGE_TIMEOUT_S,
             )
             state = self._merge_state(result.body)
-            if (
-                not self._store_watcher.connected
-                and state["revision"] > self._store_watcher.known_revision
-            ):
-                await self._fetch_snapshot(client, address)
+            self._fetch_if_behind(state, address)
         except CallFailedError as error:
             logger.bind(peer=address, why=str(error)).debug("peer not reached")
         except (KeyError, TypeError, ValueError) as error:
@@ -193,13 +192,12 @@
         finally:
             client.close()
 
-    async def _fetch_snapshot(self, client: HttpClient, address: str) -> None:
-        """Apply the documents of a peer that are newer than those known here."""
-        revision = self._store_watcher.known_revision
-        result = await client.call(
-            "GET", f"{SNAPSHOT_PATH}?after={revision}", timeout_s=EXCHANGE_TIMEOUT_S
-        )
-        documents = rows_to_documents(orjson.loads(result.body))
-        log_event("documents taken from a peer", peer=address, n=len(documents))
-        for document in documents:
-            self._store_watcher.apply(document)
+    def _fetch_if_behind(self, state: dict[str, Any], address: str) -> None:
+        """Begin to fetch the documents of a peer that knows newer ones.
+
+        Only one fetch runs at a time.
+        """
+        if not address or not self._store_watcher.should_fetch(state["revision"]):
+            return
+        if self._fetching is None or self._fetching.done():
+            self._fetching = asyncio.ensure_future(self._fetch_documents(address))
--- a/src/shallotroad/gateway/store_relay.py
+++ b/src/shallotroad/gateway/store_relay.py
@@ -8,7 +8,11 @@
 
 Each response states how long ago its sender last heard from the store, directly or
 through others. A follower whose readers can't be reached, or have not heard from the
-store for too long, reads the store itself until they have.
+store for too long, reads the store itself until they have. Any gateway also fetches
+what a peer of any data centre knows and it does not, if its own way takes too long.
+
+The documents of a response are compressed, as a slow link takes a large configuration
+longer than all else.
 """
 
 from __future__ import annotations
@@ -16,6 +20,7 @@
 import asyncio
 import base64
 import math
+import zlib
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -60,6 +65,10 @@
 CONNECT_TIMEOUT_S = 0.3
 RETRY_DELAY_S = 0.3
 HTTP_OK = 200
+COMPRESSION_LEVEL = 1
+MAX_DOCUMENTS_BYTES = 67_108_864
+# Followers ask for few revisions, so that most responses need no new compression.
+MAX_CACHED_RESPONSES = 8
 
 
 class RelayedBatch(NamedTuple):
@@ -88,15 +97,21 @@
 
 
 def documents_to_rows(documents: list[Document]) -> list[list[Any]]:
-    """Return documents as JSON data; the value of a removal is None."""
-    return [
-        [
-            d.key,
-            d.revision,
-            None if d.value is None else base64.b64encode(d.value).decode(),
-        ]
-        for d in documents
-    ]
+    """Return documents as JSON data.
+
+    The value of a removal is None, that of a text the text itself, and any other a list
+    with its base64 form.
+    """
+    return [[d.key, d.revision, _encode_value(d.value)] for d in documents]
+
+
+def _encode_value(value: bytes | None) -> str | list[str] | None:
+    if value is None:
+        return None
+    try:
+        return value.decode()
+    except UnicodeDecodeError:
+        return [base64.b64encode(value).decode()]
 
 
 def rows_to_documents(rows: list[list[Any]]) -> list[Document]:
@@ -115,21 +130,30 @@
         raise TypeError(f"document {str(key)[:40]!r} with revision {revision!r}")
     if not 0 <= revision <= MAX_NUMBER:
         raise ValueError(f"document {key[:40]!r} with revision {revision}")
-    content = None if value is None else base64.b64decode(value, validate=True)
-    return Document(key, revision, content)
-
-
-def encode_batch(batch: RelayedBatch) -> bytes:
-    """Return the body of a response to a poll."""
-    return orjson.dumps(
-        [
-            batch.revision,
-            batch.connected,
-            batch.contact_age_s,
-            batch.removal_delay_s,
-            documents_to_rows(batch.documents),
-        ]
-    )
+    return Document(key, revision, _decode_value(value))
+
+
+def _decode_value(value: Any) -> bytes | None:
+    if value is None:
+        return None
+    if isinstance(value, str):
+        return value.encode()
+    (encoded,) = value
+    return base64.b64decode(encoded, validate=True)
+
+
+def encode_documents(documents: list[Document]) -> bytes:
+    """Return the compressed rows of documents."""
+    return zlib.compress(orjson.dumps(documents_to_rows(documents)), COMPRESSION_LEVEL)
+
+
+def encode_batch(batch: RelayedBatch, documents: bytes) -> bytes:
+    """Return the body of a response to a poll.
+
+    ``documents`` are those of the batch as ``encode_documents`` returns them. They
+    follow a line with the other fields.
+    """
+    return orjson.dumps(list(batch[:-1])) + b"\n" + documents
 
 
 def decode_batch(body: bytes) -> RelayedBatch:
@@ -138,17 +162,26 @@
     Raises
     ------
     TypeError, ValueError
-        When the body is malformed.
+        When the body is malformed, or its documents take more than
+        ``MAX_DOCUMENTS_BYTES`` after decompression.
     """
-    revision, connected, age_s, removal_delay_s, rows = orjson.loads(body)
+    head, _, compressed = body.partition(b"\n")
+    revision, connected, age_s, removal_delay_s = orjson.loads(head)
     if float(age_s) < 0 or not 0 <= float(removal_delay_s) < math.inf:
         raise ValueError(f"contact age {age_s!r}, removal delay {removal_delay_s!r}")
+    decompressor = zlib.decompressobj()
+    try:
+        rows = decompressor.decompress(compressed, MAX_DOCUMENTS_BYTES)
+    except zlib.error as error:
+        raise ValueError(str(error)) from error
+    if not decompressor.eof:
+        raise ValueError("the documents are truncated or too large")
     return RelayedBatch(
         int(revision),
         bool(connected),
         float(age_s),
         float(removal_delay_s),
-        rows_to_documents(rows),
+        rows_to_documents(orjson.loads(rows)),
     )
 
 
@@ -160,6 +193,7 @@
     ) -> None:
         self._store_watcher = store_watcher
         self._clock = clock
+        self._encoded: dict[tuple[int, int], bytes] = {}
 
     async def handle(self, request: ServerRequest) -> Response:
         """Respond with the changes after a revision.
@@ -176,7 +210,17 @@
             return Response(400)
         if self._store_watcher.revision <= after:
             await self._store_watcher.wait_for_news(wait_s)
-        return Response(200, body=encode_batch(self._batch(after)))
+        return Response(200, body=self._encode(self._batch(after), after))
+
+    def _encode(self, batch: RelayedBatch, after: int) -> bytes:
+        """Return the body of a response, whose documents may be encoded already."""
+        key = (after, self._store_watcher.change_count)
+        documents = self._encoded.get(key)
+        if documents is None:
+            if len(self._encoded) >= MAX_CACHED_RESPONSES:
+                self._encoded.clear()
+            documents = self._encoded[key] = encode_documents(batch.documents)
+        return encode_batch(batch, documents)
 
     def _batch(self, after: int) -> RelayedBatch:
         watcher = self._store_watcher
@@ -312,30 +356,57 @@
         """
         wait_ms = POLL_WAIT_MS if self._reachable[slot] else 0
         try:
-            result = await client.call(
-                "GET",
-                f"{WATCH_PATH}?{self._store_watcher.revision}&{wait_ms}",
-                timeout_s=wait_ms / 1000 + POLL_RESPONSE_TIMEOUT_S,
-                transfer_timeout_s=POLL_TRANSFER_TIMEOUT_S,
-            )
-            if result.status != HTTP_OK:
-                raise CallFailedError(f"status {result.status}")
-            batch = decode_batch(result.body)
+            batch = await self._call(client, wait_ms)
         except (CallFailedError, TypeError, ValueError) as error:
             logger.bind(why=repr(error)).info("reader of the store not reached")
             self._set_reachable(slot, reachable=False)
             return False
-        in_touch = (
-            batch.connected
-            and batch.revision >= 0
-            and batch.contact_age_s <= self._max_age_s
-        )
+        in_touch = self._is_in_touch(batch)
         if in_touch:
             self._contact_s = max(self._contact_s, self._clock() - batch.contact_age_s)
         self._store_watcher.apply_relayed(batch, in_touch=in_touch)
         self._set_reachable(slot, reachable=in_touch)
         return in_touch
 
+    async def _call(self, client: PeerClient, wait_ms: int) -> RelayedBatch:
+        """Return what a peer knows beyond this gateway.
+
+        Raises
+        ------
+        CallFailedError, TypeError, ValueError
+            When the peer sent no valid response in time.
+        """
+        result = await client.call(
+            "GET",
+            f"{WATCH_PATH}?{self._store_watcher.revision}&{wait_ms}",
+            timeout_s=wait_ms / 1000 + POLL_RESPONSE_TIMEOUT_S,
+            transfer_timeout_s=POLL_TRANSFER_TIMEOUT_S,
+        )
+        if result.status != HTTP_OK:
+            raise CallFailedError(f"status {result.status}")
+        return decode_batch(result.body)
+
+    def _is_in_touch(self, batch: RelayedBatch) -> bool:
+        return (
+            batch.connected
+            and batch.revision >= 0
+            and batch.contact_age_s <= self._max_age_s
+        )
+
+    async def fetch_from(self, address: str) -> None:
+        """Apply what the peer at an address knows beyond this gateway."""
+        client = self._make_client(address)
+        try:
+            batch = await self._call(client, 0)
+        except (CallFailedError, TypeError, ValueError) as error:
+            logger.bind(peer=address, why=repr(error)).info("documents not fetched")
+            return
+        finally:
+            client.close()
+        log_event("documents taken from a peer", peer=address, n=len(batch.documents))
+        in_touch = self._is_in_touch(batch) and self._store_watcher.connected
+        self._store_watcher.apply_relayed(batch, in_touch=in_touch)
+
     def _set_reachable(self, slot: int, *, reachable: bool) -> None:
         if any(self._reachable) and not reachable:
             self._unreachable_since_s = self._clock()
--- a/src/shallotroad/gateway/store_watcher.py
+++ b/src/shallotroad/gateway/store_watcher.py
@@ -50,6 +50,10 @@
 STALE_WATCH_TIMEOUT_S = 1.0
 # Delay between watches, so that one call returns several changes.
 BATCH_DELAY_S = 0.15
+# Time after which the documents of a peer that is ahead are fetched, if the store was
+# heard from lately. Without a sign of it for the second time, they are fetched at once.
+PEER_FETCH_DELAY_S = 0.4
+PEER_FETCH_CONTACT_AGE_S = 1.3
 # The delay doubles up to this value while changes come in quick succession.
 MAX_BATCH_DELAY_S = 0.6
 MIN_BACKOFF_S = 0.1
@@ -78,6 +82,8 @@
     last_contact_s : float
         When a call to the store last succeeded, monotonic time in seconds; 0 before
         the first.
+    change_count : int
+        Number of documents that were applied.
     reads_store : callable
         Returns whether this gateway has to read the store itself.
     """
@@ -97,6 +103,7 @@
         self._aborted_for_revision = -1
         self._documents: dict[str, Document] = {}
         self._known_revision = -1
+        self.change_count = 0
         self.revision = -1
         self.connected = False
         self.last_contact_s = 0.0
@@ -176,6 +183,7 @@
         if key is None:
             return
         self._documents[document.key] = document
+        self.change_count += 1
         self._known_revision = max(self._known_revision, document.revision)
         self._evict_removals()
         if isinstance(key, ClosureKey):
@@ -316,6 +324,20 @@
             self._behind_since_s = None
             self._aborted_for_revision = revision
 
+    def should_fetch(self, peer_revision: int) -> bool:
+        """Return whether a peer that knows a revision is asked for its documents."""
+        if peer_revision <= max(self._known_revision, self.revision):
+            return False
+        now_s = self._clock()
+        if not self.connected:
+            return True
+        if now_s - self.last_contact_s > PEER_FETCH_CONTACT_AGE_S:
+            return True
+        behind_since_s = self._behind_since_s
+        return (
+            behind_since_s is not None and now_s - behind_since_s >= PEER_FETCH_DELAY_S
+        )
+
     async def run(self) -> None:
         """List and watch the store until cancelled.
 
--- a/tests/store_builders.py
+++ b/tests/store_builders.py
@@ -14,6 +14,7 @@
 
 from shallotroad.catalog.catalog import Catalog
 from shallotroad.gateway.endpoint_registry import EndpointRegistry
+from shallotroad.gateway.gossip import EXCHANGE_INTERVAL_S
 from shallotroad.gateway.membership import Membership
 from shallotroad.gateway.store_relay import StoreFollower
 from shallotroad.gateway.store_relay import StoreRelay
@@ -154,10 +155,15 @@
 class DataCentre:
     """Gateways of one data centre with a common store.
 
-    ``cut_off`` names gateways that no other gateway reaches.
+    ``cut_off`` names gateways that no other gateway reaches. If ``exchanges`` is set,
+    each gateway fetches documents from peers that gossip shows to be ahead.
     """
 
-    def __init__(self, count: int, *, propagation_s: float = 4.0) -> None:
+    def __init__(
+        self, count: int, *, propagation_s: float = 4.0, exchanges: bool = False
+    ) -> None:
+        self._exchanges = exchanges
+        self._rng = random.Random(count)
         self.store = MemoryStore()
         self.cut_off: set[str] = set()
         self.gateways: dict[str, StoreGateway] = {}
@@ -212,12 +218,28 @@
             for run in (gateway.watcher.run, gateway.follower.follow_periodically):
                 self._tasks.append(asyncio.create_task(run()))
         self._tasks.append(asyncio.create_task(self._gossip_periodically()))
+        if self._exchanges:
+            for gateway in self.gateways.values():
+                task = asyncio.create_task(self._exchange_periodically(gateway))
+                self._tasks.append(task)
 
     async def _gossip_periodically(self) -> None:
         while True:
             await asyncio.sleep(GOSSIP_INTERVAL_S)
             self.gossip()
 
+    async def _exchange_periodically(self, gateway: StoreGateway) -> None:
+        """Let a gateway learn the revision of a random peer, as gossip does."""
+        while True:
+            await asyncio.sleep(EXCHANGE_INTERVAL_S)
+            peer = self._rng.choice(list(self.gateways.values()))
+            if {peer.name, gateway.name} & self.cut_off:
+                continue
+            revision = peer.watcher.known_revision
+            gateway.watcher.observe_peer_revision(revision)
+            if gateway.watcher.should_fetch(revision):
+                await gateway.follower.fetch_from(peer.membership.address)
+
     async def stop(self) -> None:
         for task in self._tasks:
             task.cancel()
--- a/tests/unit/gateway/test_change_in_force_in_time.py
+++ b/tests/unit/gateway/test_change_in_force_in_time.py
@@ -11,6 +11,11 @@
 
 import pytest
 
+from shallotroad.gateway.store_relay import RelayedBatch
+from shallotroad.gateway.store_relay import decode_batch
+from shallotroad.gateway.store_relay import encode_batch
+from shallotroad.gateway.store_relay import encode_documents
+from shallotroad.platform.documents import Document
 from tests.configuration_builders import configuration_fields
 from tests.store_builders import DataCentre
 from tests.virtual_time import VirtualTimePolicy
@@ -94,3 +99,54 @@
     longest_s = await latest_adoption_s(data_centre, ["g0"], first_version=2)
     await data_centre.stop()
     assert longest_s < PROPAGATION_S
+
+
+# Guards against CONFIG: no news of a peer is used while the last call succeeded.
+@pytest.mark.parametrize("propagation_s", [2.0, 3.0])
+async def test_a_gateway_whose_own_calls_hang_has_changes_from_its_peers(
+    propagation_s: float,
+) -> None:
+    data_centre = DataCentre(GATEWAYS, propagation_s=propagation_s, exchanges=True)
+    data_centre.store.put("op/config", configuration_fields(1))
+    data_centre.start()
+    await asyncio.sleep(10.0)
+    names = [data_centre.readers()[0], data_centre.followers()[0]]
+    data_centre.store.stuck.update(names)
+    await asyncio.sleep(1.5)
+    for version in range(2, 12):
+        data_centre.store.put("op/config", configuration_fields(version))
+        await asyncio.sleep(propagation_s)
+        for name in names:
+            configuration = data_centre.gateways[name].catalog.configuration
+            assert configuration is not None
+            assert configuration.version == version
+    await data_centre.stop()
+
+
+def test_a_batch_passes_texts_bytes_and_removals_on() -> None:
+    documents = [
+        Document("op/config", 7, b'{"version": 1}'),
+        Document("servers/odd", 8, b"\xff\x00"),
+        Document("servers/gone", 9, None),
+    ]
+    batch = RelayedBatch(9, True, 0.25, 0.0, documents)
+    assert decode_batch(encode_batch(batch, encode_documents(documents))) == batch
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"[]",
+        b'[9,true,0.25,0.0,[["op/config",7,"e30="]]]',  # Of the version before.
+        b"[9,true,0.25,0.0]\nno documents",
+        b"[9,true,0.25,0.0]\n" + encode_documents([])[:-1],
+        b"[9,true,-1,0.0]\n" + encode_documents([]),
+        b"[9,true,0.25,1e999]\n" + encode_documents([]),
+    ],
+)
+def test_a_batch_that_is_malformed_or_of_the_version_before_is_dropped(
+    body: bytes,
+) -> None:
+    with pytest.raises((TypeError, ValueError)):
+        decode_batch(body)
--- a/tests/unit/platform/test_odd_documents.py
+++ b/tests/unit/platform/test_odd_documents.py
@@ -293,7 +293,9 @@
         ["k", 2**64, None],
         ["k", 1e300, None],
         ["k", -1, None],
-        ["k", 1, "no base64!"],
+        ["k", 1, ["no base64!"]],
+        ["k", 1, []],
+        ["k", 1, {"a": 1}],
         ["k", 1, 5],
         ["k", 1],
         5,
@@ -302,8 +304,9 @@
 def test_a_relayed_document_that_is_malformed_is_refused(row: Any) -> None:
     with pytest.raises((TypeError, ValueError)):
         rows_to_documents([row])
-    sound = ["k", 1, base64.b64encode(b"x").decode()]
-    assert rows_to_documents([sound]) == [Document("k", 1, b"x")]
+    sound = ["k", 1, [base64.b64encode(b"\xff").decode()]]
+    assert rows_to_documents([sound]) == [Document("k", 1, b"\xff")]
+    assert rows_to_documents([["k", 1, "x"]]) == [Document("k", 1, b"x")]
 
 
 # Guards against a member whose numbers no gateway can pass on again.
