Follow a store that was restored from a copy into its new era

After a drill in which the store comes back from a copy, a gateway kept what the store had lost, ignored what was written anew under a revision that it knew, and told its peers to do the same (found by reading: nothing read Store-Era, and documents were compared by revision alone).

Documents are compared by era and revision. A response of another era leads to a list. What is older in the copy than the known document, by version, start or sequence, replaces it only after four seconds, in which the operator and the endpoints write what was lost again; a document written since is applied at once, a lower version too. A peer's era makes a gateway list the store, and is believed only while that can't be reached. The stand-in of the store plays 410, revisions that are given out again and entries that are written again one by one.

--- a/src/shallotroad/catalog/catalog.py
+++ b/src/shallotroad/catalog/catalog.py
@@ -1,7 +1,8 @@
 """Configuration, endpoints and closed data centres, as this process knows them.
 
 Old versions may arrive late: from the store after an outage, in a page of a list, or
-from a peer. Whatever its source, an older version never replaces a newer one.
+from a peer. Whatever its source, an older version never replaces a newer one, unless
+the store was restored from a copy since.
 """
 
 from __future__ import annotations
@@ -68,10 +69,16 @@
         self._on_endpoint_updated = on_endpoint_updated
         self._on_endpoint_removed = on_endpoint_removed
 
-    def adopt_configuration(self, configuration: Configuration) -> bool:
-        """Adopt a configuration; return False if the current one is not older."""
+    def adopt_configuration(
+        self, configuration: Configuration, *, restored: bool = False
+    ) -> bool:
+        """Adopt a configuration; return False if the current one is not older.
+
+        One that a ``restored`` store holds is adopted whatever its version.
+        """
         current = self.configuration
-        if current is not None and configuration.version <= current.version:
+        is_older = current is None or configuration.version > current.version
+        if not (is_older or restored):
             return False
         self.configuration = configuration
         return True
--- a/src/shallotroad/gateway/exports.py
+++ b/src/shallotroad/gateway/exports.py
@@ -54,6 +54,7 @@
         "store": {
             "connected": components.store_watcher.connected,
             "revision": components.store_watcher.revision,
+            "era": components.store_watcher.era,
             "silent_s": round(now_s - components.store_watcher.last_contact_s, 3),
         },
         "closed_data_centres": sorted(components.catalog.closed_data_centres),
--- a/src/shallotroad/gateway/gossip.py
+++ b/src/shallotroad/gateway/gossip.py
@@ -18,6 +18,7 @@
 from shallotroad.http_server.exceptions import BodyTooLargeError
 from shallotroad.http_server.message import Response
 from shallotroad.observability.event_log import log_event
+from shallotroad.platform.documents import MAX_NUMBER
 from shallotroad.upstream.exceptions import CallFailedError
 from shallotroad.upstream.http_client import HttpClient
 
@@ -49,8 +50,9 @@
 
     Its keys are ``members``, the rows of ``Membership.snapshot``, ``revision``, the
     newest store revision that the gateway knows, ``crashes``, the rows of
-    ``CrashExchange.rows``, and ``engines``, those of ``EngineModels.rows`` unless there
-    are none. Gateways of earlier versions do not send the last two.
+    ``CrashExchange.rows``, ``engines``, those of ``EngineModels.rows`` unless there are
+    none, and ``era``, that of the store. Gateways of earlier versions do not send the
+    last three.
     """
     return zlib.compress(orjson.dumps(state), COMPRESSION_LEVEL)
 
@@ -118,6 +120,7 @@
         state = {
             "members": self._membership.snapshot(),
             "revision": self._store_watcher.known_revision,
+            "era": self._store_watcher.era,
             "crashes": self._crash_exchange.rows(),
         }
         if engines := self._engine_models.rows():
@@ -135,10 +138,13 @@
         state = decode_state(body)
         if not isinstance(state["revision"], int):
             raise ValueError(f"revision {state['revision']!r} is not an integer")
+        era = state.setdefault("era", 0)
+        if not (isinstance(era, int) and 0 <= era <= MAX_NUMBER):
+            raise ValueError(f"era {era!r} is not a number of restores")
         now_s = self._clock()
         for name in self._membership.merge(state["members"], now_s):
             log_event("peer found", peer=name)
-        self._store_watcher.observe_peer_revision(state["revision"])
+        self._store_watcher.observe_peer_revision(state["revision"], era)
         self._crash_exchange.merge(state.get("crashes"))
         self._engine_models.merge(state.get("engines"))
         return state
@@ -197,7 +203,9 @@
 
         Only one fetch runs at a time.
         """
-        if not address or not self._store_watcher.should_fetch(state["revision"]):
+        if not address or not self._store_watcher.should_fetch(
+            state["revision"], state["era"]
+        ):
             return
         if self._fetching is None or self._fetching.done():
             self._fetching = asyncio.ensure_future(self._fetch_documents(address))
--- a/src/shallotroad/gateway/metrics.py
+++ b/src/shallotroad/gateway/metrics.py
@@ -190,6 +190,7 @@
         values = {
             "configuration_version": configuration.version if configuration else 0,
             "store_revision": components.store_watcher.revision,
+            "store_era": components.store_watcher.era,
             "store_connected": int(components.store_watcher.connected),
             "store_silent_s": round(
                 components.clock() - components.store_watcher.last_contact_s, 3
--- a/src/shallotroad/gateway/store_relay.py
+++ b/src/shallotroad/gateway/store_relay.py
@@ -85,6 +85,8 @@
         Time since the store was last heard from.
     removal_delay_s : float
         Remaining time for which the sender keeps endpoints without a registration.
+    era : int
+        How often the store had been restored from a copy, as far as the sender knows.
     documents : list of Document
         The documents that changed after the revision asked for.
     """
@@ -93,6 +95,7 @@
     connected: bool
     contact_age_s: float
     removal_delay_s: float
+    era: int
     documents: list[Document]
 
 
@@ -114,23 +117,23 @@
         return [base64.b64encode(value).decode()]
 
 
-def rows_to_documents(rows: list[list[Any]]) -> list[Document]:
-    """Return the documents of rows as ``documents_to_rows`` makes them.
+def rows_to_documents(rows: list[list[Any]], *, era: int = 0) -> list[Document]:
+    """Return the documents of an era from rows as ``documents_to_rows`` makes them.
 
     Raises
     ------
     TypeError, ValueError
         When a row is malformed.
     """
-    return [_decode_row(*row) for row in rows]
+    return [_decode_row(*row, era=era) for row in rows]
 
 
-def _decode_row(key: Any, revision: Any, value: Any) -> Document:
+def _decode_row(key: Any, revision: Any, value: Any, *, era: int) -> Document:
     if not (isinstance(key, str) and isinstance(revision, int)):
         raise TypeError(f"document {str(key)[:40]!r} with revision {revision!r}")
     if not 0 <= revision <= MAX_NUMBER:
         raise ValueError(f"document {key[:40]!r} with revision {revision}")
-    return Document(key, revision, _decode_value(value))
+    return Document(key, revision, _decode_value(value), era)
 
 
 def _decode_value(value: Any) -> bytes | None:
@@ -166,7 +169,9 @@
         ``MAX_DOCUMENTS_BYTES`` after decompression.
     """
     head, _, compressed = body.partition(b"\n")
-    revision, connected, age_s, removal_delay_s = orjson.loads(head)
+    revision, connected, age_s, removal_delay_s, era = orjson.loads(head)
+    if not (isinstance(era, int) and 0 <= era <= MAX_NUMBER):
+        raise ValueError(f"era {era!r}")
     if float(age_s) < 0 or not 0 <= float(removal_delay_s) < math.inf:
         raise ValueError(f"contact age {age_s!r}, removal delay {removal_delay_s!r}")
     decompressor = zlib.decompressobj()
@@ -181,7 +186,8 @@
         bool(connected),
         float(age_s),
         float(removal_delay_s),
-        rows_to_documents(orjson.loads(rows)),
+        era,
+        rows_to_documents(orjson.loads(rows), era=era),
     )
 
 
@@ -193,7 +199,7 @@
     ) -> None:
         self._store_watcher = store_watcher
         self._clock = clock
-        self._encoded: dict[tuple[int, int], bytes] = {}
+        self._encoded: dict[tuple[int, int, int], bytes] = {}
 
     async def handle(self, request: ServerRequest) -> Response:
         """Respond with the changes after a revision.
@@ -214,7 +220,7 @@
 
     def _encode(self, batch: RelayedBatch, after: int) -> bytes:
         """Return the body of a response, whose documents may be encoded already."""
-        key = (after, self._store_watcher.change_count)
+        key = (after, batch.era, self._store_watcher.change_count)
         documents = self._encoded.get(key)
         if documents is None:
             if len(self._encoded) >= MAX_CACHED_RESPONSES:
@@ -229,6 +235,7 @@
             watcher.connected,
             round(self._clock() - watcher.last_contact_s, 3),
             round(watcher.removal_delay_s(), 3),
+            watcher.era,
             watcher.snapshot(after),
         )
 
@@ -389,6 +396,7 @@
     def _is_in_touch(self, batch: RelayedBatch) -> bool:
         return (
             batch.connected
+            and batch.era == self._store_watcher.era
             and batch.revision >= 0
             and batch.contact_age_s <= self._max_age_s
         )
--- a/src/shallotroad/gateway/store_watcher.py
+++ b/src/shallotroad/gateway/store_watcher.py
@@ -4,11 +4,17 @@
 the store can't be read, gossip adds documents that peers have. While other gateways
 read it for this one (``store_relay.py``), it makes no calls itself. Of each key, the
 newest revision is kept, removals included.
+
+A store that was restored from a copy has lost its last changes and begins a new era, in
+which it gives their revisions out again. The watcher then lists it anew. What was lost
+is written again soon, so a document of the copy replaces a later one only when
+``RESTORE_SETTLING_S`` have passed.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -21,6 +27,7 @@
 from shallotroad.platform.documents import EndpointKey
 from shallotroad.platform.documents import decode_configuration
 from shallotroad.platform.documents import decode_endpoint
+from shallotroad.platform.documents import has_newer_content
 from shallotroad.platform.documents import parse_key
 from shallotroad.platform.exceptions import MalformedDocumentError
 from shallotroad.platform.exceptions import RevisionCompactedError
@@ -65,6 +72,8 @@
 # again are removed. Endpoints whose registration lapsed register within about two
 # seconds.
 REREGISTRATION_TIMEOUT_S = 2.2
+# Time from the first sign of a restored store until all that it holds is taken over.
+RESTORE_SETTLING_S = 4.0
 # How often a gateway that does not read the store checks whether it has to.
 READ_CHECK_INTERVAL_S = 0.1
 
@@ -76,6 +85,8 @@
     ----------
     revision : int
         Revision up to which the store was read; -1 while a new list is needed.
+    era : int
+        How often the store had been restored from a copy, as far as is known here.
     connected : bool
         False at the start, and after a failed call to the store until one succeeds,
         here or at a gateway that reads it for this one.
@@ -105,6 +116,11 @@
         self._known_revision = -1
         self.change_count = 0
         self.revision = -1
+        self.era = 0
+        self._settles_at_s = math.inf
+        # The store's revision when it was first listed in this era.
+        self._restored_revision = math.inf
+        self._refuted_era = 0
         self.connected = False
         self.last_contact_s = 0.0
         self._reconnected_s = -REREGISTRATION_TIMEOUT_S
@@ -114,8 +130,12 @@
         self.reads_store: Callable[[], bool] = lambda: True
 
     def snapshot(self, after: int) -> list[Document]:
-        """Return the documents newer than revision ``after``, removals included."""
-        return [d for d in self._documents.values() if d.revision > after]
+        """Return the documents of this era after a revision, removals included."""
+        return [
+            d
+            for d in self._documents.values()
+            if d.revision > after and d.era == self.era
+        ]
 
     @property
     def known_revision(self) -> int:
@@ -142,8 +162,12 @@
         """Apply the news that another gateway has of the store.
 
         ``in_touch`` says that the other one has heard from the store recently, so that
-        this gateway counts as connected too.
+        this gateway counts as connected too. News of an earlier era are dropped. Those
+        of a later one only make this gateway list the store, if it is connected.
         """
+        self.observe_era(batch.era)
+        if batch.era != self.era:
+            return
         now_s = self._clock()
         if batch.removal_delay_s:
             self._reconnected_s = max(
@@ -177,22 +201,82 @@
         its endpoint.
         """
         current = self._documents.get(document.key)
-        if current is not None and current.revision >= document.revision:
+        if document.era < self.era:
+            return
+        if current is not None and current.position >= document.position:
             return
         key = parse_key(document.key)
         if key is None:
             return
+        if current is not None and self._may_be_lost_later(current, document):
+            return
         self._documents[document.key] = document
         self.change_count += 1
         self._known_revision = max(self._known_revision, document.revision)
         self._evict_removals()
+        restored = current is not None and document.era > current.era
+        if restored and current is not None and document.value == current.value:
+            return
         if isinstance(key, ClosureKey):
             self._apply_closure(key, document)
         elif isinstance(key, ConfigurationKey):
-            self._apply_configuration(document)
+            self._apply_configuration(document, restored=restored)
         else:
             self._apply_registration(key, document)
 
+    def _may_be_lost_later(self, current: Document, document: Document) -> bool:
+        """Return whether a restored document is older than the known one of its key.
+
+        The known one is then written to the store again soon.
+        """
+        return (
+            document.era > current.era
+            and self._clock() < self._settles_at_s
+            and self._settles_at_s < math.inf
+            and document.revision <= self._restored_revision
+            and document.value != current.value
+            and not has_newer_content(document, current)
+        )
+
+    def observe_era(self, era: int) -> None:
+        """List the store if a peer knows of a later era.
+
+        While the store can't be reached, the peer is believed. Otherwise the store
+        decides, and an era that it does not know is ignored from then on.
+        """
+        if era <= self.era or era == self._refuted_era:
+            return
+        if not self.connected:
+            self._begin_era(era)
+            return
+        self._refuted_era = era  # Unless the next list shows that it has begun.
+        self._must_read_once = True
+        self.revision = -1
+
+    def _begin_era(self, era: int) -> None:
+        log_event("store restored", era=era, before=self.era, revision=self.revision)
+        restored = bool(self._documents)
+        self.era = era
+        self.revision = -1
+        self._known_revision = -1
+        self._behind_since_s = None
+        self._aborted_for_revision = -1
+        self._restored_revision = math.inf
+        self._settles_at_s = math.inf
+        if restored:
+            self._settles_at_s = self._clock() + RESTORE_SETTLING_S
+            self._reconnected_s = self._clock()
+
+    def _take_era(self, era: int) -> bool:
+        """Follow the era that the store states; return whether it is the known one."""
+        if era == self.era:
+            return True
+        for key, document in list(self._documents.items()):
+            if document.era > era:  # A peer was wrong.
+                del self._documents[key]
+        self._begin_era(era)
+        return False
+
     def _apply_changes(self, documents: list[Document]) -> None:
         """Apply the changes of a watch, of the configuration only the newest."""
         outdated = [d for d in documents if d.key == CONFIGURATION_KEY][:-1]
@@ -230,7 +314,7 @@
             revision=document.revision,
         )
 
-    def _apply_configuration(self, document: Document) -> None:
+    def _apply_configuration(self, document: Document, *, restored: bool) -> None:
         if document.value is None:
             return
         try:
@@ -240,7 +324,7 @@
                 "configuration refused"
             )
             return
-        adopted = self._catalog.adopt_configuration(configuration)
+        adopted = self._catalog.adopt_configuration(configuration, restored=restored)
         log_event(
             "configuration adopted" if adopted else "older configuration ignored",
             version=configuration.version,
@@ -279,6 +363,8 @@
         The documents do not count in ``known_revision`` until the list is complete, so
         that peers still send the others if it is interrupted.
         """
+        if documents:
+            self._take_era(documents[0].era)
         known_revision = self._known_revision
         for document in documents:
             self.apply(document)
@@ -291,24 +377,27 @@
         registration is missing stays in use until ``_removal_time_s``, that is,
         ``REREGISTRATION_TIMEOUT_S`` after an outage, unless it was draining.
         """
+        if self._restored_revision == math.inf:
+            self._restored_revision = batch.revision
         for document in batch.documents:
             self.apply(document)
             self._known_revision = max(self._known_revision, document.revision)
         listed_keys = {document.key for document in batch.documents}
         for key, current in list(self._documents.items()):
             missing = key not in listed_keys and current.value is not None
-            if missing and current.revision <= batch.revision:
-                self.apply(Document(key, batch.revision, None))
+            if missing and current.position <= (batch.era, batch.revision):
+                self.apply(Document(key, batch.revision, None, batch.era))
 
-    def observe_peer_revision(self, revision: int) -> None:
+    def observe_peer_revision(self, revision: int, era: int = 0) -> None:
         """Read the store anew when a peer knows a revision that is unknown here.
 
         A watch is aborted, or begun if others read the store for this gateway,
         ``STALE_WATCH_TIMEOUT_S`` after a peer was first found ahead, and only once per
         revision: a peer that read a complete list records removals under the revision
-        of the list, which no watch returns.
+        of the list, which no watch returns. A revision of another era tells nothing.
         """
-        if revision <= max(
+        self.observe_era(era)
+        if era != self.era or revision <= max(
             self._known_revision, self.revision, self._aborted_for_revision
         ):
             return  # This peer is not ahead, but others may be.
@@ -324,9 +413,9 @@
             self._behind_since_s = None
             self._aborted_for_revision = revision
 
-    def should_fetch(self, peer_revision: int) -> bool:
+    def should_fetch(self, peer_revision: int, era: int = 0) -> bool:
         """Return whether a peer that knows a revision is asked for its documents."""
-        if peer_revision <= max(self._known_revision, self.revision):
+        if era != self.era or peer_revision <= max(self._known_revision, self.revision):
             return False
         now_s = self._clock()
         if not self.connected:
@@ -348,16 +437,22 @@
         backoff_s = MIN_BACKOFF_S
         batch_delay_s = BATCH_DELAY_S
         while True:
-            if self.revision >= 0 and not (self._must_read_once or self.reads_store()):
+            settles = self._clock() >= self._settles_at_s
+            if self.revision >= 0 and not (
+                settles or self._must_read_once or self.reads_store()
+            ):
                 self._list_next = True
                 await asyncio.sleep(READ_CHECK_INTERVAL_S)
                 continue
             try:
-                if self.revision < 0 or self._should_list():
+                if settles or self.revision < 0 or self._should_list():
                     started_s = self._clock()
                     batch = await self._store.list_documents(self._apply_page)
                     self._record_contact(self._clock())
                     self._list_next = False
+                    self._take_era(batch.era)
+                    if settles:
+                        self._settles_at_s = math.inf
                     self.apply_list(batch)
                     log_event(
                         "store listed",
@@ -368,6 +463,8 @@
                 else:
                     batch = await self._watch()
                     self._record_contact(self._clock())
+                    if not self._take_era(batch.era):
+                        continue  # Its revisions do not follow the known one.
                     self._apply_changes(batch.documents)
                 self.revision = max(self.revision, batch.revision)
                 self._must_read_once = False
@@ -429,6 +526,7 @@
             log_event("store reached", revision=self.revision)
 
     def _record_outage(self, error: StoreUnavailableError) -> None:
+        self._refuted_era = 0
         if self.connected:
             self.connected = False
             log_event("store lost", revision=self.revision, why=str(error))
--- a/src/shallotroad/platform/documents.py
+++ b/src/shallotroad/platform/documents.py
@@ -56,11 +56,20 @@
         Revision of the store at which the item was last changed or removed.
     value : bytes or None
         Content of the item; None when it was removed.
+    era : int
+        How often the store had been restored from a copy. Revisions are given out
+        again in each era; 0 if the store does not state it.
     """
 
     key: str
     revision: int
     value: bytes | None
+    era: int = 0
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era and revision, by which two documents of a key are compared."""
+        return self.era, self.revision
 
 
 class ConfigurationKey(NamedTuple):
@@ -200,6 +209,31 @@
     )
 
 
+def has_newer_content(offered: Document, known: Document) -> bool:
+    """Return whether a document was written later than a known one of its key.
+
+    The content decides: the version of a configuration, and the start and sequence of a
+    registration. False if it does not tell, as for closures and removals.
+    """
+    if offered.value is None or known.value is None:
+        return False
+    key = parse_key(offered.key)
+    try:
+        offered_fields = _load_object(offered.value)
+        known_fields = _load_object(known.value)
+        if isinstance(key, ConfigurationKey):
+            names: tuple[str, ...] = ("version",)
+        elif isinstance(key, EndpointKey):
+            names = ("born", "sequence")
+        else:
+            return False
+        return [_number(offered_fields, name, 0) for name in names] > [
+            _number(known_fields, name, 0) for name in names
+        ]
+    except MalformedDocumentError:
+        return False
+
+
 def _decode_targets(fields: dict[str, Any]) -> tuple[Target, ...]:
     split = _objects(fields, "traffic-split")
     if split:
--- a/src/shallotroad/platform/store.py
+++ b/src/shallotroad/platform/store.py
@@ -33,14 +33,38 @@
 PAGE_TRANSFER_TIMEOUT_S = 4.0
 
 
+# How often the store was restored from a copy; in all its responses.
+STORE_ERA = b"store-era"
+
+
 class DocumentBatch(NamedTuple):
-    """Documents, and the revision of the store that they are complete up to."""
+    """Documents, and the revision of the store that they are complete up to.
+
+    ``era`` counts how often the store was restored from a copy. Revisions of two eras
+    can't be compared.
+    """
 
     revision: int
     documents: list[Document]
+    era: int = 0
+
+
+class StoreResponse(NamedTuple):
+    """Decoded body of a response, and the era of the store that sent it."""
 
+    payload: dict[str, Any]
+    era: int
 
-def _decode_document(item: dict[str, Any]) -> Document | None:
+
+def _decode_era(value: bytes) -> int:
+    """Return the era of a header; 0 if it is missing or malformed."""
+    digits = value.strip()
+    if not (digits.isdigit() and len(digits) < 17):
+        return 0
+    return min(int(digits), MAX_NUMBER)
+
+
+def _decode_document(item: dict[str, Any], era: int) -> Document | None:
     """Decode one item of a response; None, so that it is skipped, if malformed."""
     try:
         key = str(item["key"])
@@ -48,12 +72,18 @@
         if not 0 <= revision <= MAX_NUMBER:
             return None
         if item.get("removed"):
-            return Document(key, revision, None)
-        return Document(key, revision, base64.b64decode(item["value"], validate=True))
+            return Document(key, revision, None, era)
+        value = base64.b64decode(item["value"], validate=True)
+        return Document(key, revision, value, era)
     except (KeyError, OverflowError, TypeError, ValueError, binascii.Error):
         return None
 
 
+def _decode_documents(items: Any, era: int) -> list[Document]:
+    decoded = (_decode_document(item, era) for item in items or ())
+    return [document for document in decoded if document is not None]
+
+
 def _make_client(address: Address) -> HttpClient:
     return HttpClient(address=str(address), connect_timeout_s=CONNECT_TIMEOUT_S)
 
@@ -67,6 +97,7 @@
 
     def __init__(self, *, address: Address) -> None:
         self._client = _make_client(address)
+        self._era = 0
         self.request_count = 0
 
     async def close(self) -> None:
@@ -101,24 +132,27 @@
         """
         documents: list[Document] = []
         revision = -1
+        list_era = 0
         after = ""
         while True:
             query = {"prefix": ""}
             if after:
                 query["after"] = after
-            payload = await self._get(
+            payload, era = await self._get(
                 "/api/kv-range",
                 query,
                 RESPONSE_TIMEOUT_S,
                 transfer_timeout_s=PAGE_TRANSFER_TIMEOUT_S,
             )
-            page = [d for d in map(_decode_document, payload.get("items") or ()) if d]
             if revision < 0:
-                revision = int(payload.get("store-revision", 0))
+                revision, list_era = int(payload.get("store-revision", 0)), era
+            if era != list_era:
+                raise StoreUnavailableError("the store was restored during the list")
+            page = _decode_documents(payload.get("items"), era)
             documents += page
             on_page(page)
             if not payload.get("truncated") or not page:
-                return DocumentBatch(revision, documents)
+                return DocumentBatch(revision, documents, era)
             after = page[-1].key
 
     async def watch(self, after: int, *, wait_ms: int) -> DocumentBatch:
@@ -141,9 +175,9 @@
         """
         query = {"prefix": "", "after": str(after), "wait-ms": str(wait_ms)}
         timeout_s = wait_ms / 1000 + RESPONSE_TIMEOUT_S
-        payload = await self._get("/api/kv-watch", query, timeout_s)
-        documents = [d for d in map(_decode_document, payload.get("events") or ()) if d]
-        return DocumentBatch(int(payload.get("store-revision", after)), documents)
+        payload, era = await self._get("/api/kv-watch", query, timeout_s)
+        documents = _decode_documents(payload.get("events"), era)
+        return DocumentBatch(int(payload.get("store-revision", after)), documents, era)
 
     async def _get(
         self,
@@ -152,7 +186,7 @@
         timeout_s: float,
         *,
         transfer_timeout_s: float = 0.0,
-    ) -> dict[str, Any]:
+    ) -> StoreResponse:
         self.request_count += 1
         client = self._client
         try:
@@ -177,4 +211,6 @@
             raise StoreUnavailableError(f"{path}: {error!r}") from error
         if not isinstance(payload, dict):
             raise StoreUnavailableError(f"{path}: the response is not a JSON object")
-        return payload
+        # A response without an era tells nothing of a restore.
+        self._era = _decode_era(result.header(STORE_ERA)) or self._era
+        return StoreResponse(payload, self._era)
--- a/tests/store_builders.py
+++ b/tests/store_builders.py
@@ -53,6 +53,7 @@
 
     def __init__(self) -> None:
         self.link_bytes_per_s = math.inf
+        self.era = 0
         self.changes: list[Document] = []
         self.compacted_revision = 0
         self.calls: dict[str, int] = {}
@@ -68,11 +69,18 @@
     def put(self, key: str, value: dict[str, Any] | None) -> int:
         """Write or remove a document; return the revision of the change."""
         data = None if value is None else orjson.dumps(value)
-        self.changes.append(Document(key, self.revision + 1, data))
+        self.changes.append(Document(key, self.revision + 1, data, self.era))
         self._changed.set()
         self._changed = asyncio.Event()
         return self.revision
 
+    def restore(self, revision: int) -> None:
+        """Come back from the copy that was made at a revision, in a new era."""
+        self.era += 1
+        self.changes = [d._replace(era=self.era) for d in self.changes[:revision]]
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def documents(self) -> list[Document]:
         newest = {document.key: document for document in self.changes}
         return [d for d in newest.values() if d.value is not None]
@@ -117,7 +125,7 @@
         if transfer_s > PAGE_TRANSFER_TIMEOUT_S:
             raise StoreUnavailableError("no complete response")
         on_page(documents)
-        return DocumentBatch(revision, documents)
+        return DocumentBatch(revision, documents, self._store.era)
 
     async def watch(self, after: int, *, wait_ms: int) -> DocumentBatch:
         timeout_s = wait_ms / 1000 + RESPONSE_TIMEOUT_S
@@ -125,10 +133,15 @@
         await self._begin_call(timeout_s)
         if self._name in self._store.stuck:
             await asyncio.sleep(3600)
+        era = self._store.era
+        if after > self._store.revision:
+            raise RevisionCompactedError("the store does not have the revision")
         if after < self._store.compacted_revision:
             raise RevisionCompactedError("history is compacted")
         if after >= self._store.revision:
             await self._store.wait_for_change(wait_ms / 1000)
+        if self._store.era != era:
+            raise StoreUnavailableError("the store was restored")
         if self._name in self._store.silenced:
             await asyncio.sleep(timeout_s)
             raise StoreUnavailableError("no response")
@@ -138,7 +151,7 @@
         await asyncio.sleep(min(transfer_s, remaining_s))
         if transfer_s > remaining_s:
             raise StoreUnavailableError("no complete response")
-        return DocumentBatch(revision, changes)
+        return DocumentBatch(revision, changes, self._store.era)
 
 
 class StoreGateway(NamedTuple):
@@ -235,9 +248,9 @@
             peer = self._rng.choice(list(self.gateways.values()))
             if {peer.name, gateway.name} & self.cut_off:
                 continue
-            revision = peer.watcher.known_revision
-            gateway.watcher.observe_peer_revision(revision)
-            if gateway.watcher.should_fetch(revision):
+            revision, era = peer.watcher.known_revision, peer.watcher.era
+            gateway.watcher.observe_peer_revision(revision, era)
+            if gateway.watcher.should_fetch(revision, era):
                 await gateway.follower.fetch_from(peer.membership.address)
 
     async def stop(self) -> None:
--- a/tests/unit/gateway/test_change_in_force_in_time.py
+++ b/tests/unit/gateway/test_change_in_force_in_time.py
@@ -129,7 +129,7 @@
         Document("servers/odd", 8, b"\xff\x00"),
         Document("servers/gone", 9, None),
     ]
-    batch = RelayedBatch(9, True, 0.25, 0.0, documents)
+    batch = RelayedBatch(9, True, 0.25, 0.0, 0, documents)
     assert decode_batch(encode_batch(batch, encode_documents(documents))) == batch
 
 
@@ -139,10 +139,12 @@
         b"",
         b"[]",
         b'[9,true,0.25,0.0,[["op/config",7,"e30="]]]',  # Of the version before.
-        b"[9,true,0.25,0.0]\nno documents",
-        b"[9,true,0.25,0.0]\n" + encode_documents([])[:-1],
-        b"[9,true,-1,0.0]\n" + encode_documents([]),
-        b"[9,true,0.25,1e999]\n" + encode_documents([]),
+        b"[9,true,0.25,0.0,0]\nno documents",
+        b"[9,true,0.25,0.0,0]\n" + encode_documents([])[:-1],
+        b"[9,true,0.25,0.0,-1]\n" + encode_documents([]),
+        b"[9,true,0.25,0.0,1e300]\n" + encode_documents([]),
+        b"[9,true,-1,0.0,0]\n" + encode_documents([]),
+        b"[9,true,0.25,1e999,0]\n" + encode_documents([]),
     ],
 )
 def test_a_batch_that_is_malformed_or_of_the_version_before_is_dropped(
