Refuse what a newer configuration may allow, instead of rejecting it

Gossip carries the revision of the configuration. While a peer knows a newer one, or the store was last heard of longer ago than a change may take, such a request is refused with 503 and Retry-After. What the known configuration allows is served on, as before, while the store is away.

--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -251,6 +251,7 @@
         engine_model=engine_models.model,
         metrics=metrics,
         clock=clock,
+        is_outdated=lambda: store_watcher.is_outdated(settings.bounds.propagation_s),
         account=MemoryAccount.for_process(
             memory_mb=settings.memory_mb, descriptors=settings.descriptors
         ),
--- a/src/shallotroad/gateway/gossip.py
+++ b/src/shallotroad/gateway/gossip.py
@@ -51,8 +51,8 @@
     Its keys are ``members``, the rows of ``Membership.snapshot``, ``revision``, the
     newest store revision that the gateway knows, ``crashes``, the rows of
     ``CrashExchange.rows``, ``engines``, those of ``EngineModels.rows`` unless there are
-    none, and ``era``, that of the store. Gateways of earlier versions do not send the
-    last three.
+    none, ``era``, that of the store, and ``configuration``, the revision of its
+    configuration. Gateways of earlier versions do not send the last four.
     """
     return zlib.compress(orjson.dumps(state), COMPRESSION_LEVEL)
 
@@ -121,6 +121,7 @@
             "members": self._membership.snapshot(),
             "revision": self._store_watcher.known_revision,
             "era": self._store_watcher.era,
+            "configuration": self._store_watcher.configuration_revision,
             "crashes": self._crash_exchange.rows(),
         }
         if engines := self._engine_models.rows():
@@ -141,10 +142,14 @@
         era = state.setdefault("era", 0)
         if not (isinstance(era, int) and 0 <= era <= MAX_NUMBER):
             raise ValueError(f"era {era!r} is not a number of restores")
+        configuration = state.get("configuration", -1)
+        if not (isinstance(configuration, int) and -1 <= configuration <= MAX_NUMBER):
+            raise ValueError(f"configuration {configuration!r} is not a revision")
         now_s = self._clock()
         for name in self._membership.merge(state["members"], now_s):
             log_event("peer found", peer=name)
         self._store_watcher.observe_peer_revision(state["revision"], era)
+        self._store_watcher.observe_peer_configuration(configuration, era)
         self._crash_exchange.merge(state.get("crashes"))
         self._engine_models.merge(state.get("engines"))
         return state
--- a/src/shallotroad/gateway/http_frontend.py
+++ b/src/shallotroad/gateway/http_frontend.py
@@ -55,6 +55,8 @@
 UNCONFIGURED_RETRY_AFTER_S = 0.5
 # The store responds to a starting process well within this time.
 CONFIGURATION_TIMEOUT_S = 0.3
+# Retry-After of what only a newer configuration may allow. Another gateway may know it.
+OUTDATED_RETRY_AFTER_S = 0.5
 CONFIGURATION_POLL_INTERVAL_S = 0.02
 RETRY_AFTER = b"Retry-After"
 # Longest time to receive a body if the caller states no deadline.
@@ -135,6 +137,11 @@
     refuses new requests. ``cut_off_s`` is the monotonic time at which unfinished
     requests are cut: infinity until the process stops. A request that arrives later,
     must run once and could still run then is refused.
+
+    Parameters
+    ----------
+    is_outdated : callable
+        Returns whether there may be a newer configuration than the one in force.
     """
 
     def __init__(
@@ -146,8 +153,10 @@
         engine_model: Callable[[str], EngineModel],
         metrics: GatewayMetrics,
         clock: Callable[[], float],
+        is_outdated: Callable[[], bool],
         account: MemoryAccount | None = None,
     ) -> None:
+        self._is_outdated = is_outdated
         self._engine_model = engine_model
         self.account = account or MemoryAccount.for_process(
             memory_mb=DEFAULT_MEMORY_MB, descriptors=DEFAULT_DESCRIPTORS
@@ -370,8 +379,9 @@
         Raises
         ------
         RefusedError
-            When the process refuses new requests or has no configuration, the request
-            could be cut by the stop, or only a last response is wanted.
+            When the process refuses new requests or has no configuration, or one that
+            does not allow the request and may be outdated, the request could be cut by
+            the stop, or only a last response is wanted.
         RejectedError
             When the headers (431) or the body (413) are too large, the body takes too
             long (408), no route matches (404), the API key is not known (401), or there
@@ -404,12 +414,12 @@
         path = decoded.target.partition("?")[0]
         route = configuration.match_route(decoded.host, path)
         if route is None:
-            raise RejectedError("no route", status=404)
+            raise self._not_allowed_error("no route", status=404)
         team = None
         if configuration.requires_keys and not route.public:
             team = configuration.team_for_key(decoded.api_key)
             if team is None:
-                raise RejectedError("key is not known", status=401)
+                raise self._not_allowed_error("key is not known", status=401)
         if not decoded.request_id:
             raise RejectedError("no request id", status=400)
         service = configuration.choose_service(route, decoded.request_id)
@@ -431,6 +441,20 @@
             raise RefusedError("too late before the stop", retry_after_s=0.0)
         return job
 
+    def _not_allowed_error(
+        self, reason: str, *, status: int
+    ) -> RefusedError | RejectedError:
+        """Return the error of a request that the configuration does not allow.
+
+        The caller is told to come back if a newer one may allow it.
+        """
+        if not self._is_outdated():
+            return RejectedError(reason, status=status)
+        return RefusedError(
+            f"{reason} in a configuration that may be outdated",
+            retry_after_s=OUTDATED_RETRY_AFTER_S,
+        )
+
     async def _check_connected(self, request: ServerRequest) -> None:
         """Raise ``ConnectionResetError`` if the caller has closed the connection.
 
--- a/src/shallotroad/gateway/store_watcher.py
+++ b/src/shallotroad/gateway/store_watcher.py
@@ -121,6 +121,8 @@
         # The store's revision when it was first listed in this era.
         self._restored_revision = math.inf
         self._refuted_era = 0
+        # Position of the newest configuration that peers know.
+        self._peer_configuration = (0, -1)
         self.connected = False
         self.last_contact_s = 0.0
         self._reconnected_s = -REREGISTRATION_TIMEOUT_S
@@ -413,6 +415,28 @@
             self._behind_since_s = None
             self._aborted_for_revision = revision
 
+    @property
+    def configuration_revision(self) -> int:
+        """Revision of the configuration that is known here; -1 before the first."""
+        document = self._documents.get(CONFIGURATION_KEY)
+        if document is None or document.era != self.era:
+            return -1
+        return document.revision
+
+    def observe_peer_configuration(self, revision: int, era: int) -> None:
+        """Record the revision of the configuration that a peer knows."""
+        self._peer_configuration = max(self._peer_configuration, (era, revision))
+
+    def is_outdated(self, max_age_s: float) -> bool:
+        """Return whether there may be a newer configuration than the known one.
+
+        A peer knows one, or the store was last heard of longer ago than ``max_age_s``.
+        """
+        era, revision = self._peer_configuration
+        if era == self.era and revision > self.configuration_revision:
+            return True
+        return self._clock() - self.last_contact_s > max_age_s
+
     def should_fetch(self, peer_revision: int, era: int = 0) -> bool:
         """Return whether a peer that knows a revision is asked for its documents."""
         if era != self.era or peer_revision <= max(self._known_revision, self.revision):
