Keep retries within the budget across restarts, cuts and waits

A gateway that was restarted spends no slack for the length of the window: the process before may have spent its part. The slack is divided by all gateways seen in ten minutes, not only by those that are live in this one's view, so that a cut divides nothing anew. A retry counts from its decision until it is sent, and from then on for the window, so that retries that wait for a place are not forgotten before they arrive.

--- a/devtools/gateway_harness.py
+++ b/devtools/gateway_harness.py
@@ -130,6 +130,7 @@
         store_port = proxy.port if proxy is not None else self.store.port
         seed_texts = json.dumps([f"{HOST}:{port}" for port in seeds])
         path.write_text(
+            f"bootstrap = {'false' if name in self.ports else 'true'}\n"
             f'node-name = "{name}"\nip = "{HOST}"\nzone = "a"\nregion = "r"\n'
             f"internal-port-range = [{ports['udp']}, {ports['udp']}]\n"
             f"seeds = {seed_texts}\n"
--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -243,6 +243,7 @@
         metrics=metrics,
         clock=clock,
         make_splitter=EventStreamSplitter,
+        restarted=not settings.first_start,
     )
     frontend = HttpFrontend(
         catalog=catalog,
@@ -373,7 +374,10 @@
         )
     ]
     log_event(
-        "started", callers=str(settings.callers), data_centre=settings.data_centre
+        "started",
+        callers=str(settings.callers),
+        data_centre=settings.data_centre,
+        first_start=settings.first_start,
     )
     await stop.wait()
     await _drain(components, caller_server)
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 from typing import Protocol
@@ -142,6 +143,8 @@
         Is told what the endpoints say of themselves in their answers.
     membership : Membership
         Gives the number of gateways that share the slack of the retry budgets.
+    restarted : bool
+        Whether another process of this instance may have made retries just before.
     bounds : Bounds
         Ratio, window and slack of the retry budgets. A reload of the settings replaces
         ``bounds``, but only budgets that are created later use the new values.
@@ -163,7 +166,9 @@
         metrics: GatewayMetrics,
         clock: Callable[[], float],
         make_splitter: Callable[[], EventStreamSplitter],
+        restarted: bool = False,
     ) -> None:
+        self._restarted_s = clock() if restarted else -math.inf
         self._endpoint_registry = endpoint_registry
         self._placement_client = placement_client
         self._crash_monitor = crash_monitor
@@ -187,6 +192,7 @@
                 ratio=self.bounds.retry_ratio,
                 window_s=self.bounds.retry_window_s,
                 slack=self.bounds.retry_slack,
+                restarted_s=self._restarted_s,
             )
         return budget
 
@@ -220,6 +226,8 @@
                 raise
             return failure
         finally:
+            if job.retry_reserved:
+                self._retry_budget(job.service.name).release()
             if splitter is not None:
                 splitter.close()
 
@@ -316,9 +324,7 @@
             placement.load.avoided_until_s = now_s + CONNECT_FAILURE_AVOIDANCE_S
         may_retry = len(job.attempts) < MAX_TOTAL_ATTEMPTS and now_s < job.end_s
         if may_retry and error.sent:
-            may_retry = self._retry_budget(job.service.name).try_spend(
-                gateways=self._membership.limit_divisor(now_s), now_s=now_s
-            )
+            may_retry = self._reserve_retry(job, now_s)
         if may_retry:
             return
         if splitter is not None and splitter.started:
@@ -362,9 +368,7 @@
             and resumable
             and job.possible_runs < job.route.max_attempts
             and now_s < job.end_s
-            and self._retry_budget(job.service.name).try_spend(
-                gateways=self._membership.limit_divisor(now_s), now_s=now_s
-            )
+            and self._reserve_retry(job, now_s)
         )
         if may_retry:
             if splitter is not None:
@@ -375,6 +379,13 @@
         past_end = now_s >= job.end_s
         raise OutcomeUnknownError(str(error), status=504 if past_end else 502)
 
+    def _reserve_retry(self, job: Job, now_s: float) -> bool:
+        """Reserve a retry of a job in the budget; return whether that is allowed."""
+        budget = self._retry_budget(job.service.name)
+        gateways = self._membership.budget_sharers(now_s)
+        job.retry_reserved = budget.try_reserve(gateways=gateways, now_s=now_s)
+        return job.retry_reserved
+
     async def _attempt(
         self,
         job: Job,
@@ -432,6 +443,9 @@
                 raise NotRunError(str(error), sent=False) from error
             progress.sent_s = self._clock()
             may_have_run = True
+            if job.retry_reserved:
+                job.retry_reserved = False
+                self._retry_budget(job.service.name).record_sent(progress.sent_s)
             async with asyncio.timeout(
                 self._attempt_timeout_s(job, placement)
             ) as timeout:
--- a/src/shallotroad/gateway/job.py
+++ b/src/shallotroad/gateway/job.py
@@ -56,10 +56,12 @@
 
     All times are monotonic, in seconds. ``attempts`` lists the endpoints that
     were tried, ``placement_inputs`` the figures behind each choice, for the log.
-    ``possible_runs`` counts the attempts that may have run. ``interrupted_s`` is when
-    a stream that has started was last interrupted; None before. ``trial_attempt`` is
-    the number of attempts before the one that is a trial of a suspended request,
-    ``alone_attempt`` of the one that runs alone; None without such an attempt.
+    ``possible_runs`` counts the attempts that may have run, and ``retry_reserved`` says
+    that the next one to be sent is a retry which the budget allows. ``interrupted_s``
+    is when a stream that has started was last interrupted; None before.
+    ``trial_attempt`` is the number of attempts before the one that is a trial of a
+    suspended request, ``alone_attempt`` of the one that runs alone; None without such
+    an attempt.
     ``request_key`` is the crash monitor's key of the whole request, once it was asked
     for; ``body`` may be released after that.
 
@@ -127,6 +129,7 @@
         self.attempts: list[str] = []
         self.placement_inputs: list[dict[str, object]] = []
         self.possible_runs = 0
+        self.retry_reserved = False
         self.trial_attempt: int | None = None
         self.alone_attempt: int | None = None
         self.interrupted_s: float | None = None
--- a/src/shallotroad/gateway/membership.py
+++ b/src/shallotroad/gateway/membership.py
@@ -42,6 +42,8 @@
 # Peers needed in the gateway's own data centre before they are preferred.
 MIN_LOCAL_PEERS = 3
 MAX_PORTS = 65_536
+# Gateways that are cut off from one another still divide a limit by all of them.
+SHARER_MEMORY_S = 600.0
 
 
 class Member(NamedTuple):
@@ -181,6 +183,7 @@
         self._left = False
         self._seeds = [seed for seed in seeds if seed != address]
         self._members: dict[str, Member] = {}
+        self._sharers_seen_s: dict[str, float] = {}
         self._rankings: dict[tuple[str, str], Ranking] = {}
 
     def replace_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -325,6 +328,17 @@
             return max(live, MIN_GATEWAYS_BEFORE_CONVERGENCE)
         return max(live, min(len(self._seeds), 3))
 
+    def budget_sharers(self, now_s: float) -> int:
+        """Return the number of gateways that may spend from a budget of all gateways.
+
+        Unlike ``limit_divisor``, it counts gateways that are silent or left: they may
+        have spent, or live beyond a cut.
+        """
+        for name, seen_s in list(self._sharers_seen_s.items()):
+            if now_s - seen_s > SHARER_MEMORY_S:
+                del self._sharers_seen_s[name]
+        return max(self.limit_divisor(now_s), len(self._sharers_seen_s) + 1)
+
     def snapshot(self) -> list[list[Any]]:
         """Return the rows of all known members for an exchange, the own row first."""
         return [
@@ -371,6 +385,7 @@
             elif member.left != current.left:
                 self._rankings.clear()
             self._members[member.name] = member
+            self._sharers_seen_s[member.name] = now_s
         return new_names
 
     def evict(self, now_s: float) -> list[str]:
--- a/src/shallotroad/platform/settings.py
+++ b/src/shallotroad/platform/settings.py
@@ -64,7 +64,7 @@
 class InstanceSettings(NamedTuple):
     """Settings of the instance, which is a machine, that the process runs on.
 
-    ``link_mbps``, ``heartbeat_s`` and ``first_start`` are decoded but not used.
+    ``link_mbps`` and ``heartbeat_s`` are decoded but not used.
 
     Parameters
     ----------
