Resume a stream only at the software version that began it

Callers got streams with events of two software versions of one service (ORDER): a broken stream was resumed at any endpoint, and a caller that resumed it at another gateway reached any version too. The cause of both is that nothing read the version of a registration.

A placement request names the version once the stream has its first event. The gateway that passes the first event on tells three others, found by a hash of service, team and request, and one that is asked to resume a stream asks them. What nobody knows is refused, unless the service has had a single version.

--- a/devtools/dependency_standins.py
+++ b/devtools/dependency_standins.py
@@ -189,7 +189,8 @@
 
     Its responses state ``limit_per_s``, the requests a second that it takes from all
     gateways together, unless it is empty, and that it leaves if ``leaving`` is set. In
-    the mode ``full`` they state ``retry_after``, unless it is empty.
+    the mode ``full`` they state ``retry_after``, unless it is empty. It registers with
+    ``software_version``.
 
     A request whose prompt has the part ``deadly_part`` crashes the endpoint in any
     mode: all its connections end, and it starts again after ``RESTART_DELAY_S``.
@@ -212,6 +213,7 @@
         self.received_s: list[float] = []
         self.limit_per_s = ""
         self.leaving = False
+        self.software_version = "v1"
         self.retry_after = ""
         self.executed_ids: list[str] = []
         self._cached_prefixes: list[tuple[str, int]] = []
@@ -266,7 +268,7 @@
             "service": self.service,
             "address": f"{HOST}:{self.registered_port or self.port}",
             "zone": self.zone,
-            "version": "v1",
+            "version": self.software_version,
             "slots": 8,
             "state": "ready",
             "cold-remaining-ms": 0,
--- a/devtools/gateway_harness.py
+++ b/devtools/gateway_harness.py
@@ -81,12 +81,14 @@
         *,
         proxied: bool = False,
         zone: str = "a",
+        software_version: str = "v1",
     ) -> EndpointStandin:
         """Start an endpoint and register it in the store.
 
         With ``proxied``, it registers with the address of a fault proxy.
         """
         endpoint = EndpointStandin(name=name, service=service, mode=mode, zone=zone)
+        endpoint.software_version = software_version
         await endpoint.start()
         self.endpoints[name] = endpoint
         if proxied:
--- a/src/shallotroad/catalog/endpoint.py
+++ b/src/shallotroad/catalog/endpoint.py
@@ -14,6 +14,9 @@
         Unique to an endpoint. An endpoint may keep it when it restarts.
     started_at_ms : int
         Unix time at which the endpoint's process started; 0 when it is not stated.
+    software_version : str
+        Version of the endpoint's software; empty when it is not stated. A stream may
+        only be resumed at the version that began it.
     slots : int
         Number of requests that the endpoint runs at the same time.
     draining : bool
@@ -32,3 +35,4 @@
     draining: bool
     cold_remaining_ms: float
     started_at_ms: int
+    software_version: str = ""
--- a/src/shallotroad/gateway/coordination/datagrams.py
+++ b/src/shallotroad/gateway/coordination/datagrams.py
@@ -16,9 +16,12 @@
 from shallotroad.gateway.coordination.exceptions import MalformedMessageError
 from shallotroad.gateway.coordination.messages import CrashNews
 from shallotroad.gateway.coordination.messages import Ended
+from shallotroad.gateway.coordination.messages import RecallStream
 from shallotroad.gateway.coordination.messages import Report
 from shallotroad.gateway.coordination.messages import Started
 from shallotroad.gateway.coordination.messages import Stated
+from shallotroad.gateway.coordination.messages import StreamBegan
+from shallotroad.gateway.coordination.messages import StreamRecalled
 from shallotroad.gateway.coordination.messages import Submit
 from shallotroad.gateway.coordination.messages import decode
 from shallotroad.gateway.coordination.messages import encode
@@ -38,7 +41,8 @@
 
     Until ``set_handlers`` is called, received messages are counted and dropped.
     ``on_crash_news`` is called with the rows of received ``CrashNews``, and
-    ``on_stated`` with what other gateways were told by an endpoint.
+    ``on_stated`` with what other gateways were told by an endpoint. ``on_stream`` is
+    called with what concerns the beginning of streams, and a function for the reply.
     """
 
     def __init__(self, *, membership: Membership, clock: Callable[[], float]) -> None:
@@ -49,6 +53,10 @@
         self._placement_client: PlacementClient | None = None
         self.on_crash_news: Callable[[list[Any]], None] = lambda _: None
         self.on_stated: Callable[[Stated], None] = lambda _: None
+        self.on_stream: Callable[
+            [StreamBegan | RecallStream | StreamRecalled, Callable[[Message], None]],
+            None,
+        ] = lambda _message, _reply: None
         self.datagrams_sent = 0
         self.datagrams_received = 0
 
@@ -102,6 +110,8 @@
             self.on_crash_news(message.rows)
         elif isinstance(message, Stated):
             self.on_stated(message)
+        elif isinstance(message, StreamBegan | RecallStream | StreamRecalled):
+            self.on_stream(message, lambda reply: self._send_to(address, reply))
         else:
             self._placement_client.handle_reply(message)
 
--- a/src/shallotroad/gateway/coordination/messages.py
+++ b/src/shallotroad/gateway/coordination/messages.py
@@ -33,6 +33,7 @@
 MS_PER_S = 1000.0
 # Longer names of teams and routes are cut by the sender and refused by the receiver.
 MAX_NAME_LENGTH = 256
+MAX_STREAM_KEY_LENGTH = 64
 
 
 class Sender(NamedTuple):
@@ -181,6 +182,28 @@
     statement: EndpointStatement
 
 
+class StreamBegan(NamedTuple):
+    """The software version that began a stream, told to those who are asked for it."""
+
+    key: str
+    software_version: str
+
+
+class RecallStream(NamedTuple):
+    """The question which software version began a stream."""
+
+    sender: Sender
+    number: int
+    key: str
+
+
+class StreamRecalled(NamedTuple):
+    """The answer to ``RecallStream``; ``software_version`` is None if not known."""
+
+    number: int
+    software_version: str | None
+
+
 Message = (
     Submit
     | Grant
@@ -192,6 +215,21 @@
     | Report
     | CrashNews
     | Stated
+    | StreamBegan
+    | RecallStream
+    | StreamRecalled
+)
+
+SubmittedMessage = (
+    Submit
+    | Started
+    | Ended
+    | Report
+    | CrashNews
+    | Stated
+    | StreamBegan
+    | RecallStream
+    | StreamRecalled
 )
 
 REPLY_KINDS = {Grant: "grant", Queued: "hold", Decline: "decline", Refuse: "refuse"}
@@ -228,6 +266,7 @@
         request.runs_once,
         request.team[:MAX_NAME_LENGTH],
         request.route[:MAX_NAME_LENGTH],
+        request.software_version,
     ]
 
 
@@ -253,6 +292,8 @@
     runs_once = fields[18] if len(fields) > 18 else False
     team = _name(fields[19]) if len(fields) > 19 else ""
     route = _name(fields[20]) if len(fields) > 20 else ""
+    # Without a version any endpoint may be granted, and the gateway checks the grant.
+    software_version = fields[21] if len(fields) > 21 else None
     times = [now_s + _finite(offset_ms) / MS_PER_S for offset_ms in offsets_ms]
     arrival_s, objective_s, end_s, deadline_s, last_start_s = times
     prompt_parts = tuple(
@@ -286,6 +327,7 @@
         runs_once=bool(runs_once),
         team=team,
         route=route,
+        software_version=None if software_version is None else _name(software_version),
     )
 
 
@@ -304,6 +346,20 @@
     return value
 
 
+def _stream_key(value: Any) -> str:
+    """Return the key of a stream in a message.
+
+    Raises
+    ------
+    TypeError, ValueError
+        When it is not a text, empty or too long.
+    """
+    key = _name(value)
+    if not 0 < len(key) <= MAX_STREAM_KEY_LENGTH:
+        raise ValueError(f"the key of a stream has {len(key)} characters")
+    return key
+
+
 def _finite(value: Any) -> float:
     """Return a number of a message.
 
@@ -402,7 +458,7 @@
 
 def _decode_submission(
     kind: str, fields: list[Any], now_s: float
-) -> Submit | Started | Ended | Report | CrashNews | Stated | None:
+) -> SubmittedMessage | None:
     """Return the message to a coordinator or peer, or None if it is of another kind."""
     if kind == "crash":
         (rows,) = fields
@@ -411,10 +467,19 @@
         return CrashNews(rows)
     if kind == "said":
         return _decode_stated(fields, now_s)
+    if kind == "began":
+        key, version = fields
+        return StreamBegan(_stream_key(key), _name(version))
+    if kind == "recalled":
+        number, version = fields
+        return StreamRecalled(int(number), None if version is None else _name(version))
     sender = _decode_sender(fields[0])
     if kind == "ask":
         number, request = fields[1:]
         return Submit(sender, int(number), _decode_request(request, now_s))
+    if kind == "recall":
+        number, key = fields[1:]
+        return RecallStream(sender, int(number), _stream_key(key))
     if kind == "start":
         number, first_event_ms = fields[1:3]
         # Gateways of earlier versions do not send whether it was streamed.
@@ -445,6 +510,13 @@
     if isinstance(message, Report):
         in_flight = [list(request) for request in message.in_flight]
         return orjson.dumps(["work", list(message.sender), in_flight, message.pending])
+    if isinstance(message, StreamBegan):
+        return orjson.dumps(["began", *message])
+    if isinstance(message, RecallStream):
+        fields = [message.number, message.key]
+        return orjson.dumps(["recall", list(message.sender), *fields])
+    if isinstance(message, StreamRecalled):
+        return orjson.dumps(["recalled", *message])
     if isinstance(message, CrashNews):
         return orjson.dumps(["crash", message.rows])
     if isinstance(message, Stated):
--- a/src/shallotroad/gateway/endpoint_registry.py
+++ b/src/shallotroad/gateway/endpoint_registry.py
@@ -57,6 +57,7 @@
         self._cell_maps: dict[str, CellMap] = {}
         self._cell_loads: dict[str, dict[str, list[EndpointLoad]]] = {}
         self._failures: dict[str, ServiceFailures] = {}
+        self._versions_seen_s: dict[str, dict[str, float]] = {}
         self.on_changed: Callable[[], None] = lambda: None
         self.on_circuit_changed: Callable[[CircuitChange], None] = lambda _: None
 
@@ -95,6 +96,8 @@
         if _place(record) != _place(load.record):
             self._forget_cells(load.record.service)
             self._forget_cells(record.service)
+        for known in (load.record, record):
+            self._record_version(known)
         load.record = record
         load.use_model(self.engine_model(record.service), now_s)
         if record.cold_remaining_ms > 0:
@@ -127,6 +130,7 @@
         load = self.loads.pop(identifier, None)
         if load is not None:
             load.circuit.service_failures.forget(identifier)
+            self._record_version(load.record)
             self._forget_cells(load.record.service)
         pool = self._pools.pop(identifier, None)
         if pool is not None:
@@ -134,6 +138,23 @@
         log_event("endpoint gone", endpoint=identifier)
         self.on_changed()
 
+    def _record_version(self, record: EndpointRecord) -> None:
+        seen_s = self._versions_seen_s.setdefault(record.service, {})
+        seen_s[record.software_version] = self._clock()
+
+    def software_versions(self, service: str, max_age_s: float) -> set[str]:
+        """Return the versions that the endpoints of a service have or lately had.
+
+        Versions that none had for ``max_age_s`` are left out.
+        """
+        now_s = self._clock()
+        seen_s = self._versions_seen_s.setdefault(service, {})
+        for load in self._loads_of(Cell(service)):
+            seen_s[load.record.software_version] = now_s
+        for version in [v for v, s in seen_s.items() if now_s - s > max_age_s]:
+            del seen_s[version]
+        return set(seen_s)
+
     def engine_model(self, service: str) -> EngineModel:
         """Return the model in force of the engines of a service."""
         return self._engine_models.get(service, NOMINAL_MODEL)
@@ -287,17 +308,19 @@
     ) -> Callable[[EndpointLoad], bool]:
         """Return a predicate for the endpoints that a request may use.
 
-        It checks the request's excluded endpoints and allowed regions (an empty
-        set allows all), and the closed data centres, but not whether an endpoint
-        is draining or avoided. ``now_s`` is not used.
+        It checks the request's excluded endpoints, software version and allowed
+        regions (an empty set allows all), and the closed data centres, but not whether
+        an endpoint is draining or avoided. ``now_s`` is not used.
         """
         closed_data_centres = self._closed_data_centres
         excluded, regions = request.excluded, request.regions
+        version = request.software_version
 
         def allows(load: EndpointLoad) -> bool:
             record = load.record
             return (
                 record.identifier not in excluded
+                and version in (None, record.software_version)
                 and record.data_centre not in closed_data_centres
                 and (not regions or self._regions.get(record.data_centre) in regions)
             )
--- a/src/shallotroad/gateway/exports.py
+++ b/src/shallotroad/gateway/exports.py
@@ -88,6 +88,7 @@
             {
                 "endpoint": identifier,
                 "service": load.record.service,
+                "software_version": load.record.software_version,
                 "data_centre": load.record.data_centre,
                 "draining": load.is_leaving(now_s),
                 "limit_per_s": load.limit_per_s,
--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -36,6 +36,7 @@
 from shallotroad.gateway.store_relay import StoreFollower
 from shallotroad.gateway.store_relay import StoreRelay
 from shallotroad.gateway.store_watcher import StoreWatcher
+from shallotroad.gateway.stream_origins import StreamOrigins
 from shallotroad.http_server.allocator import return_large_blocks
 from shallotroad.http_server.memory_account import MemoryAccount
 from shallotroad.http_server.server import HttpServer
@@ -100,6 +101,8 @@
         Chooses endpoints, and queues requests while none has room.
     crash_monitor : CrashMonitor
         Suspends requests that crash endpoints.
+    stream_origins : StreamOrigins
+        Remembers which software version began a stream.
     forwarder : Forwarder
         Sends jobs to endpoints and retries them.
     frontend : HttpFrontend
@@ -126,6 +129,7 @@
     placement_client: PlacementClient
     admission: Admission
     crash_monitor: CrashMonitor
+    stream_origins: StreamOrigins
     forwarder: Forwarder
     frontend: HttpFrontend
     engine_models: EngineModels
@@ -233,6 +237,14 @@
         clock=clock,
     )
     coordination_protocol.on_stated = statements.merge
+    stream_origins = StreamOrigins(
+        endpoint_registry=endpoint_registry,
+        membership=membership,
+        send=coordination_protocol.send,
+        clock=clock,
+        restarted=not settings.first_start,
+    )
+    coordination_protocol.on_stream = stream_origins.handle
     forwarder = Forwarder(
         endpoint_registry=endpoint_registry,
         placement_client=placement_client,
@@ -243,6 +255,7 @@
         metrics=metrics,
         clock=clock,
         make_splitter=EventStreamSplitter,
+        stream_origins=stream_origins,
         restarted=not settings.first_start,
     )
     frontend = HttpFrontend(
@@ -290,6 +303,7 @@
         placement_client,
         admission,
         crash_monitor,
+        stream_origins,
         forwarder,
         frontend,
         engine_models,
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -34,6 +34,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from shallotroad.catalog.endpoint import EndpointRecord
     from shallotroad.gateway.coordination.placement_client import PlacementClient
     from shallotroad.gateway.crash_monitor import AttemptWatch
     from shallotroad.gateway.crash_monitor import CrashMonitor
@@ -43,8 +44,10 @@
     from shallotroad.gateway.job import Job
     from shallotroad.gateway.membership import Membership
     from shallotroad.gateway.metrics import GatewayMetrics
+    from shallotroad.gateway.stream_origins import StreamOrigins
     from shallotroad.platform.headers import ResponseHead
     from shallotroad.platform.settings import Bounds
+    from shallotroad.policy.endpoint_load import EndpointLoad
     from shallotroad.policy.placement import Placement
     from shallotroad.upstream.connection import EndpointConnection
 
@@ -65,6 +68,8 @@
 # that are full have room again after a few responses. It also applies to failed
 # connections.
 NOT_RUN_RETRY_AFTER_S = 0.3
+# Retry-After when no gateway tells in time which version began a stream.
+UNKNOWN_ORIGIN_RETRY_AFTER_S = 0.5
 # A kept connection is reused only if it was idle for at most this long. The limit is
 # lower for jobs that are not repeatable, which can't be retried if it is lost.
 NON_REPEATABLE_MAX_IDLE_S = 1.0
@@ -143,6 +148,8 @@
         Is told what the endpoints say of themselves in their answers.
     membership : Membership
         Gives the number of gateways that share the slack of the retry budgets.
+    stream_origins : StreamOrigins
+        Knows which software version began a stream that a caller resumes.
     restarted : bool
         Whether another process of this instance may have made retries just before.
     bounds : Bounds
@@ -166,6 +173,7 @@
         metrics: GatewayMetrics,
         clock: Callable[[], float],
         make_splitter: Callable[[], EventStreamSplitter],
+        stream_origins: StreamOrigins,
         restarted: bool = False,
     ) -> None:
         self._restarted_s = clock() if restarted else -math.inf
@@ -178,6 +186,7 @@
         self._metrics = metrics
         self._clock = clock
         self._make_splitter = make_splitter
+        self._stream_origins = stream_origins
         self._retry_budgets: dict[str, WindowedRetryBudget] = {}
 
     def _retry_budget(self, service: str) -> WindowedRetryBudget:
@@ -209,6 +218,7 @@
             When a stream that has started can't be completed.
         """
         self._retry_budget(job.service.name).record_request(self._clock())
+        await self._recall_origin(job)
         splitter = self._make_splitter() if job.streams else None
         failure: BufferedResponse | None = None
         try:
@@ -231,6 +241,24 @@
             if splitter is not None:
                 splitter.close()
 
+    async def _recall_origin(self, job: Job) -> None:
+        """Set the software version at which a stream that a caller resumes goes on.
+
+        Raises
+        ------
+        RefusedError
+            When it is not known and may be one of several.
+        """
+        if not (job.route.resumable and job.request.last_event_id):
+            return
+        origin = await self._stream_origins.recall(job)
+        if origin is None:
+            raise RefusedError(
+                "the version that began the stream is not known",
+                retry_after_s=UNKNOWN_ORIGIN_RETRY_AFTER_S,
+            )
+        job.software_version = origin
+
     async def _place(self, job: Job, splitter: EventStreamSplitter | None) -> Placement:
         """Place a job; a refusal is passed on only if no attempt may have run.
 
@@ -431,6 +459,7 @@
                 connection = await pool.acquire(
                     max_idle_s=max_idle_s, request_id=job.request.request_id
                 )
+                self._check_same_software(job, load, progress.record)
                 await connection.send(
                     job.request.request_id,
                     self._encode_head(job, identifier, splitter),
@@ -493,6 +522,29 @@
                 update_slowness=first_attempt and job.service.engine is not None
             )
 
+    def _check_same_software(
+        self, job: Job, load: EndpointLoad, record: EndpointRecord
+    ) -> None:
+        """Check that the endpoint did not restart while the connection was opened.
+
+        Raises
+        ------
+        NotRunError
+            When it did, or its software may not resume the stream of the job.
+        """
+        current = load.record
+        if (current.started_at_ms, current.software_version) != (
+            record.started_at_ms,
+            record.software_version,
+        ) or job.software_version not in (None, current.software_version):
+            raise NotRunError("endpoint has restarted", sent=False)
+
+    def _record_origin(self, job: Job, record: EndpointRecord) -> None:
+        """Record at which software version the stream of a job begins or goes on."""
+        job.software_version = record.software_version
+        if job.route.resumable:
+            self._stream_origins.record(job)
+
     def _attempt_timeout_s(self, job: Job, placement: Placement) -> float:
         """Return the time in which a response must be complete, in seconds.
 
@@ -667,6 +719,7 @@
                 timeout.reschedule(asyncio.get_running_loop().time() + remaining_s)
                 if not splitter.started:
                     splitter.started = True
+                    self._record_origin(job, progress.record)
                     await sink.start(head)
             await sink.write(events)
         if head.length is not None and head.length != received_bytes:
@@ -697,6 +750,8 @@
     ----------
     watch : AttemptWatch
         Reports it to the crash monitor.
+    record : EndpointRecord
+        The endpoint as it was when the attempt began.
     sent_s : float
         When the request was written to the connection, monotonic time in seconds;
         until then, when the attempt began.
@@ -721,6 +776,7 @@
         clock: Callable[[], float],
     ) -> None:
         self.watch = watch
+        self.record = placement.load.record
         self._placement = placement
         self._placement_client = placement_client
         self._clock = clock
--- a/src/shallotroad/gateway/http_frontend.py
+++ b/src/shallotroad/gateway/http_frontend.py
@@ -422,7 +422,10 @@
                 raise self._not_allowed_error("key is not known", status=401)
         if not decoded.request_id:
             raise RejectedError("no request id", status=400)
-        service = configuration.choose_service(route, decoded.request_id)
+        # A stream goes on at the service that began it.
+        service = configuration.choose_service(
+            route, decoded.resumes or decoded.request_id
+        )
         job = Job(
             request=decoded,
             body=body,
--- a/src/shallotroad/gateway/job.py
+++ b/src/shallotroad/gateway/job.py
@@ -61,7 +61,8 @@
     is when a stream that has started was last interrupted; None before.
     ``trial_attempt`` is the number of attempts before the one that is a trial of a
     suspended request, ``alone_attempt`` of the one that runs alone; None without such
-    an attempt.
+    an attempt. ``software_version`` is that of the endpoint that began its stream, None
+    before its first event; only that version may go on.
     ``request_key`` is the crash monitor's key of the whole request, once it was asked
     for; ``body`` may be released after that.
 
@@ -133,6 +134,7 @@
         self.trial_attempt: int | None = None
         self.alone_attempt: int | None = None
         self.interrupted_s: float | None = None
+        self.software_version: str | None = None
         self.waited_ms = 0.0
 
     def _is_long_prompt(self, min_event_gap_limit_ms: float) -> bool:
@@ -227,6 +229,7 @@
             runs_once=self.max_runs == 1,
             team=self.team.name if self.team is not None else "",
             route=self.route.name,
+            software_version=self.software_version,
         )
 
     @property
--- a/src/shallotroad/gateway/metrics.py
+++ b/src/shallotroad/gateway/metrics.py
@@ -197,6 +197,7 @@
             ),
             "store_calls": components.store.request_count,
             "endpoints": len(components.catalog.endpoints),
+            "streams_known": components.stream_origins.known_streams,
             "waiting": components.admission.queue_length,
             "return_places": components.admission.return_places,
             "competing_tiers": components.admission.competing_tiers,
--- /dev/null
+++ b/src/shallotroad/gateway/stream_origins.py
@@ -0,0 +1,237 @@
+"""Remembers which software version began a stream that a caller may resume.
+
+Versions of an endpoint's software write streams that don't fit together, and the
+caller that resumes a stream often reaches another gateway than the one that it began
+at, which may be gone. So that gateway tells a few others, which the identifier of the
+request selects, and the one that is asked to resume the stream asks them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import math
+from bisect import bisect
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from shallotroad.gateway.coordination.messages import RecallStream
+from shallotroad.gateway.coordination.messages import Sender
+from shallotroad.gateway.coordination.messages import StreamBegan
+from shallotroad.gateway.coordination.messages import StreamRecalled
+from shallotroad.observability.event_log import log_event
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from shallotroad.gateway.coordination.messages import Message
+    from shallotroad.gateway.endpoint_registry import EndpointRegistry
+    from shallotroad.gateway.job import Job
+    from shallotroad.gateway.membership import Membership
+
+# Gateways that are told of each stream, besides the one that it begins at. All of them
+# are rarely lost together.
+HOLDERS = 3
+# More are asked than told, as two gateways may know different members.
+ASKED = 6
+REPLY_TIMEOUT_S = 0.12
+RECALL_TRIES = 2
+# A caller resumes a stream within its deadline.
+STREAM_LIFETIME_S = 60.0
+# A process that started earlier has seen all versions that may have begun a stream.
+VERSIONS_KNOWN_AFTER_S = 30.0
+# About 3 MB.
+MAX_STREAMS = 20_000
+KEY_BYTES = 12
+RING_MAX_AGE_S = 0.5
+
+
+class Origin(NamedTuple):
+    """The software version of a stream, and when it was last recorded."""
+
+    software_version: str
+    recorded_s: float
+
+
+class Ring(NamedTuple):
+    """Names of gateways in the order of their hashes, and when it was made."""
+
+    made_s: float
+    points: list[bytes]
+    names: list[str]
+
+    def successors(self, key: str, count: int) -> list[str]:
+        """Return the names that follow a key."""
+        start = bisect(self.points, bytes.fromhex(key))
+        names = self.names[start:] + self.names[:start]
+        return names[:count]
+
+
+def _hash(text: str) -> bytes:
+    return hashlib.blake2b(text.encode(), digest_size=KEY_BYTES).digest()
+
+
+def _make_ring(names: list[str], now_s: float) -> Ring:
+    ordered = sorted((_hash(name), name) for name in names)
+    return Ring(now_s, [point for point, _ in ordered], [name for _, name in ordered])
+
+
+def stream_key(job: Job) -> str:
+    """Return the key of a job's stream, also for a job that resumes it.
+
+    It depends on the team, so that an identifier of another team's request tells
+    nothing.
+    """
+    team = job.team.name if job.team is not None else ""
+    request_id = job.request.resumes or job.request.request_id
+    return _hash("\0".join((job.service.name, team, request_id))).hex()
+
+
+class StreamOrigins:
+    """The software versions of streams that began here or that others told of.
+
+    Parameters
+    ----------
+    send : callable
+        Sends a message to the gateway of a name, without any guarantee of delivery.
+    restarted : bool
+        Whether streams may have begun before this process did.
+    """
+
+    def __init__(
+        self,
+        *,
+        endpoint_registry: EndpointRegistry,
+        membership: Membership,
+        send: Callable[[str, Message], None],
+        clock: Callable[[], float],
+        restarted: bool,
+    ) -> None:
+        self._endpoint_registry = endpoint_registry
+        self._membership = membership
+        self._send = send
+        self._clock = clock
+        self._knows_versions_s = (
+            clock() + VERSIONS_KNOWN_AFTER_S if restarted else -math.inf
+        )
+        self._origins: OrderedDict[str, Origin] = OrderedDict()
+        self._recalls: dict[int, asyncio.Future[str | None]] = {}
+        self._unanswered: dict[int, int] = {}
+        self._last_number = 0
+        self._live_ring = Ring(-math.inf, [], [])
+
+    @property
+    def known_streams(self) -> int:
+        """Number of streams whose version is known here."""
+        return len(self._origins)
+
+    def record(self, job: Job) -> None:
+        """Record the software version of a job's stream, here and at the holders."""
+        if job.software_version is None:
+            return
+        key = stream_key(job)
+        self._remember(key, job.software_version)
+        message = StreamBegan(key, job.software_version)
+        for name in self._holders(key):
+            self._send(name, message)
+
+    def _remember(self, key: str, version: str) -> None:
+        now_s = self._clock()
+        self._origins.pop(key, None)
+        self._origins[key] = Origin(version, now_s)
+        while self._origins:
+            oldest = next(iter(self._origins))
+            expired = now_s - self._origins[oldest].recorded_s > STREAM_LIFETIME_S
+            if not expired and len(self._origins) <= MAX_STREAMS:
+                return
+            del self._origins[oldest]
+
+    def _known(self, key: str) -> str | None:
+        origin = self._origins.get(key)
+        if origin is None or self._clock() - origin.recorded_s > STREAM_LIFETIME_S:
+            return None
+        return origin.software_version
+
+    def _holders(self, key: str) -> list[str]:
+        now_s = self._clock()
+        if not 0 <= now_s - self._live_ring.made_s < RING_MAX_AGE_S:
+            self._live_ring = _make_ring(self._membership.live_names(now_s), now_s)
+        names = self._live_ring.successors(key, HOLDERS + 1)
+        return [name for name in names if name != self._membership.name][:HOLDERS]
+
+    def _asked(self, key: str) -> list[str]:
+        ring = _make_ring(self._membership.known_names(), self._clock())
+        names = ring.successors(key, ASKED + 1)
+        return [name for name in names if name != self._membership.name][:ASKED]
+
+    async def recall(self, job: Job) -> str | None:
+        """Return the version that began the stream which a job resumes.
+
+        If no gateway knows it, it is the only version that the endpoints of the service
+        had of late; None if there are several, or may have been.
+        """
+        version = None
+        if job.request.resumes:
+            key = stream_key(job)
+            version = self._known(key)
+            if version is None:
+                version = await self._ask(key)
+        if version is not None:
+            return version
+        versions = self._endpoint_registry.software_versions(
+            job.service.name, STREAM_LIFETIME_S
+        )
+        log_event(
+            "stream of unknown version resumed",
+            request=job.request.request_id,
+            versions=len(versions),
+        )
+        if len(versions) == 1 and self._clock() >= self._knows_versions_s:
+            return versions.pop()
+        return None
+
+    async def _ask(self, key: str) -> str | None:
+        """Ask the gateways that may know a stream; return the first version told."""
+        names = self._asked(key)
+        if not names:
+            return None
+        self._last_number += 1
+        number = self._last_number
+        answer: asyncio.Future[str | None] = asyncio.get_running_loop().create_future()
+        self._recalls[number] = answer
+        sender = Sender(self._membership.name, self._membership.incarnation)
+        try:
+            for _ in range(RECALL_TRIES):
+                self._unanswered[number] = len(names)
+                for name in names:
+                    self._send(name, RecallStream(sender, number, key))
+                done, _ = await asyncio.wait([answer], timeout=REPLY_TIMEOUT_S)
+                if done:
+                    return answer.result()
+            return None
+        finally:
+            del self._recalls[number]
+            del self._unanswered[number]
+
+    def handle(
+        self,
+        message: StreamBegan | RecallStream | StreamRecalled,
+        reply: Callable[[Message], None],
+    ) -> None:
+        """Take over or answer a message of another gateway."""
+        if isinstance(message, StreamBegan):
+            self._remember(message.key, message.software_version)
+        elif isinstance(message, RecallStream):
+            reply(StreamRecalled(message.number, self._known(message.key)))
+        else:
+            self._take_answer(message)
+
+    def _take_answer(self, message: StreamRecalled) -> None:
+        answer = self._recalls.get(message.number)
+        if answer is None or answer.done():
+            return
+        self._unanswered[message.number] -= 1
+        if message.software_version is not None or not self._unanswered[message.number]:
+            answer.set_result(message.software_version)
--- a/src/shallotroad/platform/documents.py
+++ b/src/shallotroad/platform/documents.py
@@ -43,6 +43,7 @@
 # The end of the year 2099. A later start would outlive all true ones.
 MAX_STARTED_AT_MS = 4_102_444_800_000
 MAX_SLOTS = 1_000_000
+MAX_VERSION_LENGTH = 200
 # It stands in a header of each request to the endpoint.
 IDENTIFIER = re.compile(r"[!-~]{1,200}")
 
@@ -195,6 +196,13 @@
     if not started_at_ms.is_integer():
         raise MalformedDocumentError(f"born: {started_at_ms} is not a whole number")
     _number(fields, "sequence")
+    # "version" is that of the software, not of the weights.
+    software_version = fields.get("version", "")
+    if (
+        not isinstance(software_version, str)
+        or len(software_version) > MAX_VERSION_LENGTH
+    ):
+        raise MalformedDocumentError("version: a short string is required")
     return EndpointRecord(
         identifier=identifier,
         service=_require_text(fields, "service"),
@@ -206,6 +214,7 @@
         draining=DRAINING_BY_STATE[state],
         cold_remaining_ms=_duration_ms(fields, "cold-remaining-ms", 0),
         started_at_ms=int(started_at_ms),
+        software_version=software_version,
     )
 
 
--- a/src/shallotroad/platform/headers.py
+++ b/src/shallotroad/platform/headers.py
@@ -46,6 +46,9 @@
 PROMPT_PARTS = b"x-prompt-prefix"
 MODEL = b"x-model"
 LAST_EVENT_ID = b"last-event-id"
+# The value is the request id of the attempt that brought the first event of the stream.
+RESUMES = b"resumes"
+MAX_RESUMES_LENGTH = 200
 # The router does not read this header; it is forwarded like any other.
 COLD = b"x-cold-ms"
 # The value is the number of output tokens that the caller expects.
@@ -133,6 +136,9 @@
     last_event_id : str
         Identifier of the last event that the caller has, when it resumes a stream;
         otherwise empty.
+    resumes : str
+        Identifier of the request that began the stream which the caller resumes; empty
+        if it is not stated.
     expects_continue : bool
         Whether the caller waits for status 100 before it sends the body.
     forwarded : tuple
@@ -152,6 +158,7 @@
     expected_output_tokens: int
     prompt_parts: tuple[PromptPart, ...]
     last_event_id: str
+    resumes: str
     expects_continue: bool
     forwarded: tuple[tuple[bytes, bytes], ...]
 
@@ -254,6 +261,11 @@
     return key.strip() if scheme.lower() == AUTHORIZATION_SCHEME else ""
 
 
+def _decode_resumes(text: bytes) -> str:
+    text = text.strip()
+    return text.decode("latin-1") if len(text) <= MAX_RESUMES_LENGTH else ""
+
+
 def _connection_options(headers: dict[bytes, bytes]) -> frozenset[bytes]:
     """Return the lower-case options of ``Connection``, which include header names."""
     value = headers.get(b"connection", b"")
@@ -285,6 +297,7 @@
         expected_output_tokens=_count_or_zero(headers.get(LENGTH_HINT)),
         prompt_parts=_decode_prompt_parts(headers.get(PROMPT_PARTS, b"")),
         last_event_id=headers.get(LAST_EVENT_ID, b"").decode("latin-1"),
+        resumes=_decode_resumes(headers.get(RESUMES, b"")),
         expects_continue=headers.get(b"expect", b"").lower() == b"100-continue",
         forwarded=tuple((n, v) for n, v in pairs if n.lower() not in not_forwarded),
     )
--- a/src/shallotroad/policy/placement_request.py
+++ b/src/shallotroad/policy/placement_request.py
@@ -68,6 +68,9 @@
     team, route : str
         Names of the team and the route. An empty team stands for all callers without
         one, and without a route the caller's return is not recognised.
+    software_version : str or None
+        Version of the software of the endpoints that may resume its stream; None if any
+        version may serve it.
     waits_since_s : float
         Time from which the limit of the prefill debt grows for this request, if that is
         earlier than its arrival. Only the gateway that places it sets it.
@@ -93,6 +96,7 @@
     runs_once: bool = False
     team: str = ""
     route: str = ""
+    software_version: str | None = None
     waits_since_s: float = math.inf
 
     def priority(self, now_s: float) -> tuple[int, int, bool, float]:
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -131,6 +131,7 @@
         expected_output_tokens=100,
         prompt_parts=(PromptPart("shared", 300), PromptPart("own", 700)),
         last_event_id="",
+        resumes="",
         expects_continue=False,
         forwarded=(),
     )
--- a/tests/unit/gateway/test_faults_of_attempts.py
+++ b/tests/unit/gateway/test_faults_of_attempts.py
@@ -147,6 +147,7 @@
         metrics=GatewayMetrics(),
         clock=gateway.admission_fixture.clock,
         make_splitter=EventStreamSplitter,
+        stream_origins=MagicMock(),
     )
     return ForwarderFixture(forwarder, gateway, sent, faults)
 
--- /dev/null
+++ b/tests/unit/gateway/test_stream_origins.py
@@ -0,0 +1,192 @@
+"""Which software version began a stream, as gateways tell one another."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Any
+
+import orjson
+import pytest
+
+from shallotroad.catalog.configuration import Team
+from shallotroad.gateway.coordination.exceptions import MalformedMessageError
+from shallotroad.gateway.coordination.messages import RecallStream
+from shallotroad.gateway.coordination.messages import Sender
+from shallotroad.gateway.coordination.messages import StreamBegan
+from shallotroad.gateway.coordination.messages import StreamRecalled
+from shallotroad.gateway.coordination.messages import Submit
+from shallotroad.gateway.coordination.messages import decode
+from shallotroad.gateway.coordination.messages import encode
+from shallotroad.gateway.endpoint_registry import EndpointRegistry
+from shallotroad.gateway.stream_origins import MAX_STREAMS
+from shallotroad.gateway.stream_origins import STREAM_LIFETIME_S
+from shallotroad.gateway.stream_origins import VERSIONS_KNOWN_AFTER_S
+from shallotroad.gateway.stream_origins import StreamOrigins
+from tests.budget_builders import make_memberships
+from tests.gateway_builders import Clock
+from tests.gateway_builders import make_gateway_job
+from tests.gateway_builders import make_record
+from tests.gateway_builders import make_request
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from shallotroad.gateway.coordination.messages import Message
+    from shallotroad.gateway.job import Job
+
+SENDER = Sender("g1", 1)
+
+
+class Gateways:
+    """Gateways whose messages arrive at once, except at those that are ``lost``."""
+
+    def __init__(self, count: int, *, restarted: bool = False) -> None:
+        self.clock = Clock()
+        self.registry = EndpointRegistry(clock=self.clock, regions={}, closed=set())
+        self.lost: set[str] = set()
+        self.sent: list[Message] = []
+        self.origins = {
+            membership.name: StreamOrigins(
+                endpoint_registry=self.registry,
+                membership=membership,
+                send=self._sender(membership.name),
+                clock=self.clock,
+                restarted=restarted,
+            )
+            for membership in make_memberships(count)
+        }
+
+    def _sender(self, source: str) -> Callable[[str, Message], None]:
+        def send(name: str, message: Message) -> None:
+            self.sent.append(message)
+            if not {source, name} & self.lost:
+                message = decode(encode(message, 0.0), 0.0)
+                assert isinstance(message, StreamBegan | RecallStream | StreamRecalled)
+                reply = lambda answer: self._sender(name)(source, answer)  # noqa: E731
+                self.origins[name].handle(message, reply)
+
+        return send
+
+    def put(self, *versions: str) -> None:
+        for version in versions:
+            record = make_record(f"e-{version}", software_version=version)
+            self.registry.put(record)
+
+
+def make_stream_job(request_id: str, resumes: str = "", team: str = "clinic") -> Job:
+    job = make_gateway_job(
+        request=make_request(
+            request_id=request_id, resumes=resumes, last_event_id="2" if resumes else ""
+        ),
+        team=Team(team, frozenset(), None, frozenset()),
+    )
+    job.software_version = None if resumes else "v1"
+    return job
+
+
+async def test_few_others_are_told_and_any_gateway_learns_the_version() -> None:
+    gateways = Gateways(22)
+    gateways.put("v1", "v2")
+    gateways.origins["g0"].record(make_stream_job("q1"))
+    assert len(gateways.sent) == 3
+    for origins in gateways.origins.values():
+        assert await origins.recall(make_stream_job("r1", resumes="q1")) == "v1"
+
+
+async def test_the_version_outlives_a_third_of_the_gateways() -> None:
+    gateways = Gateways(22)
+    gateways.put("v1", "v2")
+    for number in range(60):
+        gateways.origins["g0"].record(make_stream_job(f"q{number}"))
+    gateways.lost.update(f"g{number}" for number in range(8))
+    known = [
+        await gateways.origins["g20"].recall(make_stream_job("r", resumes=f"q{n}"))
+        for n in range(60)
+    ]
+    assert set(known) <= {"v1", None}
+    assert known.count("v1") > 50
+
+
+async def test_another_team_learns_nothing() -> None:
+    gateways = Gateways(3)
+    gateways.put("v1", "v2")
+    gateways.origins["g0"].record(make_stream_job("q1"))
+    job = make_stream_job("r1", resumes="q1", team="shop")
+    assert await gateways.origins["g1"].recall(job) is None
+
+
+async def test_a_version_that_was_there_of_late_may_have_begun_the_stream() -> None:
+    gateways = Gateways(1)
+    gateways.put("v1", "v2")
+    origins = gateways.origins["g0"]
+    gateways.registry.remove("e-v1")
+    assert await origins.recall(make_stream_job("r1", resumes="q1")) is None
+    gateways.clock.now_s += STREAM_LIFETIME_S + 1.0
+    assert await origins.recall(make_stream_job("r1", resumes="q1")) == "v2"
+
+
+async def test_a_restarted_gateway_does_not_know_which_versions_there_were() -> None:
+    gateways = Gateways(1, restarted=True)
+    gateways.put("v2")
+    origins = gateways.origins["g0"]
+    assert await origins.recall(make_stream_job("r1", resumes="q1")) is None
+    gateways.clock.now_s += VERSIONS_KNOWN_AFTER_S
+    assert await origins.recall(make_stream_job("r1", resumes="q1")) == "v2"
+
+
+def test_streams_are_forgotten_after_their_time_and_beyond_a_number() -> None:
+    gateways = Gateways(1)
+    origins = gateways.origins["g0"]
+    for number in range(MAX_STREAMS + 10):
+        origins.record(make_stream_job(f"q{number}"))
+    assert origins.known_streams == MAX_STREAMS
+    gateways.clock.now_s += STREAM_LIFETIME_S + 1.0
+    origins.record(make_stream_job("last"))
+    assert origins.known_streams == 1
+
+
+async def test_answers_that_are_late_or_not_asked_for_are_ignored() -> None:
+    gateways = Gateways(2)
+    origins = gateways.origins["g0"]
+    origins.handle(StreamRecalled(7, "v1"), lambda _: None)
+    gateways.lost.add("g1")
+    task = asyncio.create_task(origins.recall(make_stream_job("r1", resumes="q1")))
+    await asyncio.sleep(0.01)
+    origins.handle(StreamRecalled(1, None), lambda _: None)
+    origins.handle(StreamRecalled(1, "v9"), lambda _: None)
+    assert await task is None
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        ["began", "", "v1"],
+        ["began", "k" * 65, "v1"],
+        ["began", 5, "v1"],
+        ["began", "k", None],
+        ["began", "k", "v" * 300],
+        ["began", "k"],
+        ["recall", ["g1", 1], 7, ""],
+        ["recall", ["g1", 1], 7, ["k"]],
+        ["recall", ["g1", 1], "x", "k"],
+        ["recalled", 7, 5],
+        ["recalled", None, "v1"],
+        ["recalled", 7],
+    ],
+)
+def test_a_malformed_message_is_refused(fields: list[Any]) -> None:
+    with pytest.raises(MalformedMessageError):
+        decode(orjson.dumps(fields), 0.0)
+
+
+def test_a_submission_of_the_version_before_names_no_software_version() -> None:
+    job = make_stream_job("q1")
+    message = Submit(SENDER, 1, job.placement_request(100.0))
+    fields = orjson.loads(encode(message, 100.0))
+    assert fields[3][-1] == "v1"
+    fields[3].pop()
+    decoded = decode(orjson.dumps(fields), 100.0)
+    assert isinstance(decoded, Submit)
+    assert decoded.request.software_version is None
