Take no answer with a status that is none

A status outside 100 to 599, or 101, which no request asks for, is malformed: the outcome of the attempt is unknown. The new test got 600, 999 and 504 before; now 502 at once. Interim answers without end were ended before too.

--- a/src/shallotroad/upstream/connection.py
+++ b/src/shallotroad/upstream/connection.py
@@ -25,6 +25,8 @@
 # A response of which more bytes than this arrive without a complete head, a part of the
 # body or its end is malformed. Also bounds a late response to an earlier request.
 MAX_UNPARSED_BYTES = 262_144
+STATUSES = range(100, 600)
+SWITCHING_PROTOCOLS = 101  # No request asks for it.
 # The kernel closes the connection when sent data stays unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 2_000
 # The socket module has no such name on some platforms; 18 is the number on Linux.
@@ -184,6 +186,9 @@
         if self._complete:
             return
         status = self._parser.get_status_code()
+        if status == SWITCHING_PROTOCOLS or status not in STATUSES:
+            self._fail(MalformedResponseError(f"status {status:03}"))
+            return
         if status < 200:
             self._skipping_response = True
             return
--- a/tests/processes/test_early_responses.py
+++ b/tests/processes/test_early_responses.py
@@ -1,4 +1,4 @@
-"""Answers that an endpoint sends before it has read a long upload."""
+"""Answers that an endpoint sends before it has read a long upload, and odd statuses."""
 
 from __future__ import annotations
 
@@ -49,3 +49,29 @@
     assert endpoint.requests == 1
     assert response.status == 502
     assert PART not in response.body
+
+
+# Guards against MIXED: an endpoint in trouble answers with a status that is none.
+@pytest.mark.parametrize("status", ["000", "099", "101", "600", "999"])
+async def test_a_status_out_of_range_is_no_answer(
+    harness: GatewayHarness, status: str
+) -> None:
+    endpoint = await harness.add_endpoint("s1", "shop", "scripted")
+    endpoint.script = HEAD.replace(b"200 OK", f"{status} Odd".encode()).replace(
+        b"\r\n\r\n", b"\r\nContent-Length: 4\r\n\r\nbody"
+    )
+    await harness.start()
+    response = await harness.send_request("/book/1", "q1", body=b"slot")
+    assert response.status == 502
+    assert response.body != b"body"
+
+
+# Guards against MIXED: interim answers without end hold a request to its time limit.
+async def test_interim_answers_without_end_are_no_answer(
+    harness: GatewayHarness,
+) -> None:
+    endpoint = await harness.add_endpoint("s1", "shop", "scripted")
+    endpoint.script = b"HTTP/1.1 100 Continue\r\n\r\n" * 20_000
+    await harness.start()
+    response = await harness.send_request("/book/1", "q1", body=b"slot")
+    assert response.status == 502
