End a stream at the head of a second response, with either line end

The head of a response among the events ended the stream only where the events end their lines with CRLF.

The new test failed for lines that end with LF.

--- a/src/shallotroad/gateway/event_stream.py
+++ b/src/shallotroad/gateway/event_stream.py
@@ -12,8 +12,9 @@
 
 EVENT_SEPARATOR = b"\n\n"
 CRLF_EVENT_SEPARATOR = b"\r\n\r\n"
-# A line that no event has, and with which an endpoint that fails may begin an error.
-HEAD_LINE = b"\r\nHTTP/1."
+# A line that no event has, and with which an endpoint may begin an error in the middle
+# of a stream, or a second response after one without a length.
+HEAD_LINE = b"\nHTTP/1."
 ID_FIELD = b"id:"
 MAX_EVENT_BYTES = 1_048_576
 
@@ -56,7 +57,7 @@
             self._partial = data
             return b""
         complete = data[: end + len(separator)]
-        if separator == CRLF_EVENT_SEPARATOR and HEAD_LINE in b"\r\n" + complete:
+        if HEAD_LINE in b"\n" + complete:
             raise MalformedResponseError("the head of a response within a stream")
         self._partial = data[end + len(separator) :]
         self._held.resize(len(self._partial))
--- a/tests/unit/gateway/test_event_stream.py
+++ b/tests/unit/gateway/test_event_stream.py
@@ -98,6 +98,23 @@
         assert splitter.within_event
 
 
+# Guards against MIXED: a second answer reaches the caller of a stream without a length.
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
+@pytest.mark.parametrize("together", [True, False])
+def test_a_second_response_after_the_last_event_is_no_event(
+    line_end: bytes, *, together: bool
+) -> None:
+    splitter = EventStreamSplitter()
+    first = EVENTS[0].replace(b"\n", line_end)
+    second = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + first
+    if together:
+        second = first + second
+    else:
+        assert splitter.feed(first) == first
+    with pytest.raises(MalformedResponseError):
+        splitter.feed(second)
+
+
 def test_a_line_end_after_the_last_event_is_not_within_an_event() -> None:
     splitter = EventStreamSplitter()
     assert splitter.feed(EVENTS[0]) == EVENTS[0]
