--- a/devtools/dependency_standins.py
+++ b/devtools/dependency_standins.py
@@ -47,7 +47,8 @@
     """A store with range reads and watches.
 
     While ``down`` is set, every request gets status 503. A watch from before
-    ``compacted_revision`` gets 410, as its history is gone.
+    ``compacted_revision``, or from a revision that it does not have, gets 410, as its
+    history is gone. ``era`` counts how often it was restored from a copy.
     """
 
     def __init__(self) -> None:
@@ -55,6 +56,7 @@
         self.items: dict[str, tuple[int, Any]] = {}
         self.changes: list[tuple[int, str, Any]] = []
         self.down = False
+        self.era = 0
         self.compacted_revision = 0
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
@@ -94,6 +96,20 @@
         """Drop the history up to the current revision."""
         self.compacted_revision = self.revision
 
+    def restore(self, lost_changes: int) -> dict[str, Any]:
+        """Lose the last changes, whose revisions are given out again in a new era.
+
+        Returns the lost values by key, None for a removal; the operator and the
+        endpoints write them again.
+        """
+        kept = self.changes[: len(self.changes) - lost_changes]
+        lost = {key: value for _, key, value in self.changes[len(kept) :]}
+        self.era += 1
+        self.changes, self.items, self.revision = [], {}, 1
+        for _, key, value in kept:
+            self.put(key, value)
+        return lost
+
     @staticmethod
     def _encode_item(key: str, revision: int, value: Any) -> dict[str, Any]:
         if value is None:
@@ -108,7 +124,10 @@
             return web.Response(status=503)
         items = [self._encode_item(k, r, v) for k, (r, v) in sorted(self.items.items())]
         body = {"items": items, "truncated": False, "store-revision": self.revision}
-        return web.json_response(body)
+        return web.json_response(body, headers=self._era_header())
+
+    def _era_header(self) -> dict[str, str]:
+        return {"Store-Era": str(self.era)}
 
     async def _watch(self, request: web.Request) -> web.Response:
         """Return the changes after the revision ``after`` as one response.
@@ -118,9 +137,9 @@
         """
         after = int(request.query["after"])
         if self.down:
-            return web.Response(status=503)
-        if after < self.compacted_revision:
-            return web.Response(status=410)
+            return web.Response(status=503, headers=self._era_header())
+        if after < self.compacted_revision or after > self.revision:
+            return web.Response(status=410, headers=self._era_header())
         if after >= self.revision:
             try:
                 async with asyncio.timeout(int(request.query["wait-ms"]) / 1000):
@@ -128,7 +147,8 @@
             except TimeoutError:
                 pass
         events = [self._encode_item(k, r, v) for r, k, v in self.changes if r > after]
-        return web.json_response({"events": events, "store-revision": self.revision})
+        body = {"events": events, "store-revision": self.revision}
+        return web.json_response(body, headers=self._era_header())
 
 
 class ReceivedRequest(NamedTuple):
--- a/devtools/soak_faults.py
+++ b/devtools/soak_faults.py
@@ -232,6 +232,24 @@
         run.harness.store.down = False
 
 
+async def restore_store(run: SoakRun, rng: Random) -> None:
+    """Bring the store back from a copy, and write again what it has lost."""
+    store = run.harness.store
+    async with run.claim("store") as claimed, run.unplanned_fault():
+        if not claimed:
+            return
+        store.down = True
+        await asyncio.sleep(rng.uniform(0.1, 1.0))
+        lost = store.restore(min(len(store.changes) - 1, rng.randint(1, 10)))
+        restored_revision = store.revision
+        store.down = False
+        for key, value in sorted(lost.items()):
+            await asyncio.sleep(rng.uniform(0.0, 0.3))
+            revision, _ = store.items.get(key, (0, None))
+            if revision <= restored_revision:  # Else it has been written since.
+                store.put(key, value)
+
+
 async def endpoint_fault(run: SoakRun, rng: Random) -> None:
     """Let an endpoint fail in one of ``MODES`` for 0.2 s to 2 s."""
     name = rng.choice(sorted(run.harness.endpoints))
@@ -372,6 +390,7 @@
     pause_gateway,
     kill_gateway,
     store_outage,
+    restore_store,
     endpoint_fault,
     connection_fault,
 )
