Bound what a wrong peer does to the reading of the store

A peer's claim to know a newer configuration made a gateway refuse unknown routes and keys for ever; it now holds for ten seconds. Documents that a peer told under a false era while the store was away stayed in the catalog when the store was back; now what the store does not hold goes. Removals that are remembered counted as documents to list, so that a gateway that has seen 450 endpoints come and go would have read versions one by one again.

--- a/src/shallotroad/gateway/store_watcher.py
+++ b/src/shallotroad/gateway/store_watcher.py
@@ -72,6 +72,9 @@
 # again are removed. Endpoints whose registration lapsed register within about two
 # seconds.
 REREGISTRATION_TIMEOUT_S = 2.2
+# A configuration that a peer claims to know is awaited for this long. After that, the
+# store has shown it or there is none.
+PEER_CONFIGURATION_S = 10.0
 # Time from the first sign of a restored store until all that it holds is taken over.
 RESTORE_SETTLING_S = 4.0
 # How often a gateway that does not read the store checks whether it has to.
@@ -121,8 +124,10 @@
         # The store's revision when it was first listed in this era.
         self._restored_revision = math.inf
         self._refuted_era = 0
-        # Position of the newest configuration that peers know.
+        # Position of the newest configuration that peers know, and until when they are
+        # believed.
         self._peer_configuration = (0, -1)
+        self._peer_configuration_until_s = -math.inf
         self.connected = False
         self.last_contact_s = 0.0
         self._reconnected_s = -REREGISTRATION_TIMEOUT_S
@@ -273,9 +278,11 @@
         """Follow the era that the store states; return whether it is the known one."""
         if era == self.era:
             return True
-        for key, document in list(self._documents.items()):
-            if document.era > era:  # A peer was wrong.
-                del self._documents[key]
+        for key, document in self._documents.items():
+            if (
+                document.era > era
+            ):  # A peer was wrong: any document of the store is newer.
+                self._documents[key] = document._replace(era=0, revision=0)
         self._begin_era(era)
         return False
 
@@ -425,17 +432,21 @@
 
     def observe_peer_configuration(self, revision: int, era: int) -> None:
         """Record the revision of the configuration that a peer knows."""
-        self._peer_configuration = max(self._peer_configuration, (era, revision))
+        if (era, revision) > self._peer_configuration:
+            self._peer_configuration = (era, revision)
+            self._peer_configuration_until_s = self._clock() + PEER_CONFIGURATION_S
 
     def is_outdated(self, max_age_s: float) -> bool:
         """Return whether there may be a newer configuration than the known one.
 
         A peer knows one, or the store was last heard of longer ago than ``max_age_s``.
         """
+        now_s = self._clock()
         era, revision = self._peer_configuration
-        if era == self.era and revision > self.configuration_revision:
+        is_behind = era == self.era and revision > self.configuration_revision
+        if is_behind and now_s < self._peer_configuration_until_s:
             return True
-        return self._clock() - self.last_contact_s > max_age_s
+        return now_s - self.last_contact_s > max_age_s
 
     def should_fetch(self, peer_revision: int, era: int = 0) -> bool:
         """Return whether a peer that knows a revision is asked for its documents."""
@@ -509,7 +520,10 @@
                 backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
 
     def _should_list(self) -> bool:
-        return self._list_next and len(self._documents) <= MAX_LISTED_DOCUMENTS
+        if not self._list_next:
+            return False
+        present = sum(d.value is not None for d in self._documents.values())
+        return present <= MAX_LISTED_DOCUMENTS
 
     async def _watch(self) -> DocumentBatch:
         """Wait for changes and return them.
--- a/tests/unit/gateway/test_change_in_force_in_time.py
+++ b/tests/unit/gateway/test_change_in_force_in_time.py
@@ -15,6 +15,8 @@
 from shallotroad.gateway.store_relay import decode_batch
 from shallotroad.gateway.store_relay import encode_batch
 from shallotroad.gateway.store_relay import encode_documents
+from shallotroad.gateway.store_watcher import MAX_LISTED_DOCUMENTS
+from shallotroad.gateway.store_watcher import PEER_CONFIGURATION_S
 from shallotroad.platform.documents import Document
 from tests.configuration_builders import configuration_fields
 from tests.store_builders import DataCentre
@@ -123,6 +125,42 @@
     await data_centre.stop()
 
 
+# Guards against callers that are told to come back for ever, on the word of one peer.
+async def test_a_configuration_that_the_store_does_not_show_is_not_awaited() -> None:
+    data_centre = DataCentre(1)
+    data_centre.store.put("op/config", configuration_fields(1))
+    data_centre.start()
+    await asyncio.sleep(5.0)
+    watcher = data_centre.gateways["g0"].watcher
+    assert not watcher.is_outdated(PROPAGATION_S)
+    for pause_s, awaited in (
+        (0.0, True),
+        (PEER_CONFIGURATION_S - 1, True),
+        (2.0, False),
+    ):
+        await asyncio.sleep(pause_s)
+        watcher.observe_peer_configuration(99, 0)
+        assert watcher.is_outdated(PROPAGATION_S) == awaited
+    await data_centre.stop()
+
+
+# Guards against versions that are read one by one where many endpoints have come and
+# gone, whose removals are remembered.
+async def test_removals_do_not_keep_a_gateway_from_listing() -> None:
+    data_centre = DataCentre(1, propagation_s=PROPAGATION_S)
+    data_centre.store.put("op/config", configuration_fields(1, routes=ROUTES))
+    for number in range(MAX_LISTED_DOCUMENTS + 50):
+        data_centre.store.put(f"servers/i{number}", {})
+    data_centre.start()
+    await asyncio.sleep(5.0)
+    for number in range(MAX_LISTED_DOCUMENTS + 50):
+        data_centre.store.put(f"servers/i{number}", None)
+    await asyncio.sleep(5.0)
+    data_centre.store.link_bytes_per_s = SLOW_LINK_BYTES_PER_S
+    assert await latest_adoption_s(data_centre, ["g0"], first_version=2) < PROPAGATION_S
+    await data_centre.stop()
+
+
 def test_a_batch_passes_texts_bytes_and_removals_on() -> None:
     documents = [
         Document("op/config", 7, b'{"version": 1}'),
--- a/tests/unit/gateway/test_restored_store.py
+++ b/tests/unit/gateway/test_restored_store.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+import orjson
 import pytest
 
 from shallotroad.gateway.store_relay import RelayedBatch
@@ -169,6 +170,27 @@
     assert watcher.era == centre.store.era
 
 
+# Guards against what a wrong peer has left when the store is reached again.
+async def test_the_store_outweighs_what_a_peer_told_while_it_was_away(
+    centre: DataCentre,
+) -> None:
+    centre.store.refused.update(centre.gateways)
+    await asyncio.sleep(5.0)
+    era = 2**53
+    documents = [
+        Document(CONFIGURATION, 5, orjson.dumps(configuration_fields(99)), era),
+        Document("servers/e9", 6, orjson.dumps(registration(1)), era),
+    ]
+    for gateway in centre.gateways.values():
+        batch = RelayedBatch(9, True, 0.0, 0.0, era, documents)
+        gateway.watcher.apply_relayed(batch, in_touch=False)
+    assert versions(centre) == {99}
+    centre.store.refused.clear()
+    await asyncio.sleep(2 * SETTLED_S)
+    assert versions(centre) == {9}
+    assert all(names == {"e1", "e2", "e3"} for names in endpoints(centre))
+
+
 # A peer that is wrong, or of the version before, must not outweigh the store.
 @pytest.mark.parametrize("era", [0, 2, 2**53])
 async def test_an_era_that_the_store_does_not_have_changes_nothing(
