Keep places of requests without stated work apart from promised work

Such places leave like any other, sums that are gone are not rescaled, and a first event is noted before the engine models learn from it. The new test raised KeyError before.

--- a/src/shallotroad/gateway/coordination/coordinator.py
+++ b/src/shallotroad/gateway/coordination/coordinator.py
@@ -252,6 +252,7 @@
         if gateway is None or request is None or request.started:
             return
         request.load.record_first_event(request.due_s, self._clock())
+        gateway.in_flight[message.number] = request._replace(started=True)
         grant = request.grant
         if grant is not None and (message.streamed or grant.model == NOMINAL_MODEL):
             request.load.update_slowness(
@@ -264,7 +265,6 @@
             self._engine_models.record_first_event(
                 request.load, request.prefill, message.first_event_ms
             )
-        gateway.in_flight[message.number] = request._replace(started=True)
         self._admission.schedule_dispatch()
 
     def record_end(self, message: Ended) -> None:
--- a/src/shallotroad/policy/return_places.py
+++ b/src/shallotroad/policy/return_places.py
@@ -125,7 +125,7 @@
 
     def _remove(self, key: ReturnKey, *, returned: bool) -> None:
         place = self._places.pop(key, None)
-        if place is not None and place.work_ms:
+        if place is not None and key in self._promised.get(place.cell, {}):
             del self._promised[place.cell][key]
             if not self._promised[place.cell]:
                 del self._promised[place.cell]
@@ -216,7 +216,8 @@
             for key, place in promised.items():
                 promised[key] = place._replace(work_ms=place.work_ms * ratio)
                 self._places[key] = promised[key]
-            self._cell_ms[cell] *= ratio
+            if cell in self._cell_ms:
+                self._cell_ms[cell] *= ratio
         for team in list(self._team_ms):
             if team[0].service == service:
                 self._team_ms[team] *= ratio
@@ -233,10 +234,13 @@
 
 
 def _subtract(sums: dict[_KeyT, float], key: _KeyT, work_ms: float) -> None:
-    """Subtract work, and remove a sum that is nothing but a rounding error."""
-    sums[key] -= work_ms
-    if sums[key] < MIN_WORK_MS:
-        del sums[key]
+    """Subtract work, and remove a sum that is nothing but a rounding error.
+
+    Places of hardly any work may be left when their sum is removed.
+    """
+    rest_ms = sums.pop(key, 0.0) - work_ms
+    if rest_ms >= MIN_WORK_MS:
+        sums[key] = rest_ms
 
 
 def is_early(place: ReturnPlace, now_s: float) -> bool:
--- a/tests/unit/policy/test_return_places.py
+++ b/tests/unit/policy/test_return_places.py
@@ -148,3 +148,27 @@
     huge = (PromptPart("x" * (MAX_NAME_LENGTH + 1), 5),)
     huge_part = request.profile._replace(parts=huge)
     assert return_key(request._replace(profile=huge_part)) is None
+
+
+# Guards against a KeyError at each change of the engine model, after the first place of
+# a request without stated work (review/7).
+def test_places_without_work_leave_with_their_callers() -> None:
+    places = ReturnPlaces()
+    reserve(places, "a")
+    for part, work_ms in (("b", 0.0), ("c", 1e-9)):
+        added = places.reserve(
+            key(part), place(work_ms), engine_ms=1e9, team_share=1.0, now_s=NOW_S
+        )
+        assert added is not None
+    places.use(key("a"))
+    places.rescale("chat", 2.0)
+    assert len(places.promised_work(CELL, NOW_S)) == 2
+    places.use(key("b"))
+    places.use(key("c"))
+    assert places.promised_work(CELL, NOW_S) == []
+    assert len(places) == 0
+    places.rescale("chat", 0.5)
+    reserve(places, "a")
+    places.rescale("chat", 0.5)
+    (left,) = places.promised_work(CELL, NOW_S)
+    assert left.work_ms == 50.0
