--- a/src/shallotroad/upstream/connection.py
+++ b/src/shallotroad/upstream/connection.py
@@ -26,6 +26,7 @@
 # body or its end is malformed. Also bounds a late response to an earlier request.
 MAX_UNPARSED_BYTES = 262_144
 STATUSES = range(100, 600)
+MAX_HEADERS = 256
 SWITCHING_PROTOCOLS = 101  # No request asks for it.
 # The kernel closes the connection when sent data stays unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 2_000
@@ -178,8 +179,15 @@
         self._skipping_response = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header of the current response."""
-        self._raw_headers.append((name, value))
+        """Add a header or trailer of the current response.
+
+        A response with more than ``MAX_HEADERS`` is malformed: short lines take many
+        times their length in memory.
+        """
+        if len(self._raw_headers) < MAX_HEADERS:
+            self._raw_headers.append((name, value))
+        elif self._error is None:
+            self._fail(MalformedResponseError(f"more than {MAX_HEADERS} headers"))
 
     def on_headers_complete(self) -> None:
         """Decode the head; skip interim responses and those to another request."""
--- a/tests/unit/upstream/test_connection.py
+++ b/tests/unit/upstream/test_connection.py
@@ -10,6 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from shallotroad.upstream.connection import MAX_HEADERS
 from shallotroad.upstream.exceptions import MalformedResponseError
 from shallotroad.upstream.pool import ConnectionPool
 from shallotroad.upstream.unfinished_bytes import MAX_UNFINISHED_BYTES
@@ -146,6 +147,27 @@
     assert open_connections
 
 
+# Guards against short header lines, which take many times their length (review/6).
+@pytest.mark.parametrize(
+    "start",
+    [
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n",
+    ],
+    ids=["head", "trailer"],
+)
+async def test_header_lines_without_end_are_malformed(start: bytes) -> None:
+    connection = make_connection()
+    await connection.send("q1", b"GET / HTTP/1.1\r\n\r\n", b"")
+    connection.data_received(start)
+    connection.data_received(b"x:\r\n" * (MAX_HEADERS - 1))
+    assert connection.usable
+    connection.data_received(b"x:\r\n" * 10_000)
+    assert not connection.usable
+    assert len(connection._raw_headers) <= MAX_HEADERS
+    assert UNFINISHED_PARTS.held_bytes == 0
+
+
 async def test_a_head_that_becomes_complete_takes_nothing_of_the_limit() -> None:
     connection = make_connection()
     await connection.send("q1", b"GET / HTTP/1.1\r\n\r\n", b"")
