--- a/tests/unit/gateway/test_gossip.py
+++ b/tests/unit/gateway/test_gossip.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import random
 import zlib
+from typing import Any
+from unittest.mock import AsyncMock
+from unittest.mock import MagicMock
 
 import orjson
 import pytest
 
 from shallotroad.gateway.gossip import MAX_STATE_BYTES
+from shallotroad.gateway.gossip import Gossip
 from shallotroad.gateway.gossip import decode_state
 from shallotroad.gateway.gossip import encode_state
 from shallotroad.gateway.membership import Membership
@@ -60,3 +65,49 @@
 def test_a_malformed_or_too_large_body_is_rejected(body: bytes) -> None:
     with pytest.raises(ValueError, match=r".+"):
         decode_state(body)
+
+
+def make_gossip(watcher: MagicMock) -> Gossip:
+    membership = Membership(name="g0", address="10.0.0.1:1", incarnation=1, seeds=())
+    return Gossip(
+        membership=membership,
+        store_watcher=watcher,
+        crash_exchange=MagicMock(),
+        engine_models=MagicMock(),
+        fetch_documents=AsyncMock(),
+        clock=lambda: 100.0,
+        rng=random.Random(1),
+    )
+
+
+def test_a_state_of_the_version_before_is_taken_without_an_era() -> None:
+    watcher = MagicMock()
+    state = make_gossip(watcher)._merge_state(
+        encode_state({"members": [], "revision": 7})
+    )
+    assert state["era"] == 0
+    watcher.observe_peer_revision.assert_called_once_with(7, 0)
+    watcher.observe_peer_configuration.assert_called_once_with(-1, 0)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"era": -1},
+        {"era": 1.5},
+        {"era": "1"},
+        {"era": 2**60},
+        {"configuration": -2},
+        {"configuration": None},
+        {"configuration": 2**60},
+    ],
+)
+def test_a_state_with_an_odd_era_or_configuration_is_refused(
+    fields: dict[str, Any],
+) -> None:
+    watcher = MagicMock()
+    with pytest.raises(ValueError, match=r"era|configuration"):
+        make_gossip(watcher)._merge_state(
+            encode_state({"members": [], "revision": 7, **fields})
+        )
+    watcher.observe_peer_revision.assert_not_called()
