Let a connection of the fault proxy that has lost data bring no more

The proxy dropped bytes for a time and then passed on the later ones of the same connection, a hole that no network makes.

--- a/devtools/fault_proxy.py
+++ b/devtools/fault_proxy.py
@@ -14,7 +14,9 @@
 
     ``CUT`` closes new connections at once and leaves open ones as they are; use
     ``FaultProxy.disconnect`` to close these too. ``SILENT`` keeps connections open but
-    drops the data of both directions; the other two drop the data of one direction.
+    drops the data of both directions; the other two drop the data of one direction. A
+    connection that has lost data brings nothing more in that direction, as the bytes of
+    a connection arrive in order or not at all.
     """
 
     NONE = "none"
@@ -122,12 +124,14 @@
         connection_number: int,
         direction: Fault,
     ) -> None:
+        lost = False
         while data := await reader.read(READ_CHUNK_BYTES):
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
-            if self._drops(connection_number, direction):
+            if lost or self._drops(connection_number, direction):
+                lost = True
                 continue
             writer.write(data)
             await writer.drain()
-        if not self._drops(connection_number, direction):
+        if not (lost or self._drops(connection_number, direction)):
             raise ConnectionResetError
