Count the grace period from a stop signal that arrives during the start

Its log has the start and the stop in the same millisecond: the signal had arrived while the process still started, and the grace period was counted from then on, so that requests that had not ended were cut without a last response.

The time of the signal is kept and counts. The new test fails on the source before. That the process was so late because of the load explains when it shows, not that it does.

--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -328,19 +328,20 @@
 async def serve(
     settings: InstanceSettings,
     caller_listener: socket.socket,
-    stop: asyncio.Event,
+    stop: asyncio.Future[float],
     reload_callbacks: set[Callable[[], None]],
 ) -> None:
-    """Run a gateway until ``stop`` is set and its requests have ended.
+    """Run a gateway until ``stop`` is done and its requests have ended.
 
-    Draining takes at most the grace period of the settings.
+    Draining ends within the grace period of the settings, which begins with the signal.
 
     Parameters
     ----------
     caller_listener : socket.socket
         Listening socket for callers.
-    stop : asyncio.Event
-        Set when the process receives a stop signal.
+    stop : asyncio.Future of float
+        Gets the monotonic time in seconds at which the process received a stop signal,
+        which may be before it was ready.
     reload_callbacks : set of callables
         Receives the callback that the reload signal calls.
     """
@@ -393,8 +394,8 @@
         data_centre=settings.data_centre,
         first_start=settings.first_start,
     )
-    await stop.wait()
-    await _drain(components, caller_server)
+    requested_s = await stop
+    await _drain(components, caller_server, requested_s)
     await asyncio.gather(*(server.stop(CLOSE_TIMEOUT_S) for server, _ in listeners))
     log_event("stopped")
     for task in background_tasks:
@@ -414,7 +415,9 @@
         await asyncio.sleep(RESTART_DELAY_S)
 
 
-async def _drain(components: Components, server: HttpServer) -> None:
+async def _drain(
+    components: Components, server: HttpServer, requested_s: float
+) -> None:
     """Finish the open requests within the grace period.
 
     New connections are accepted for ``BALANCER_LINGER_S``; then requests are refused
@@ -424,7 +427,7 @@
     """
     frontend = components.frontend
     started_s = time.monotonic()
-    deadline_s = started_s + components.settings.bounds.grace_s - EXIT_RESERVE_S
+    deadline_s = requested_s + components.settings.bounds.grace_s - EXIT_RESERVE_S
     frontend.draining = True
     frontend.cut_off_s = deadline_s
     components.membership.leave()
--- a/src/shallotroad/gateway/main.py
+++ b/src/shallotroad/gateway/main.py
@@ -12,6 +12,7 @@
 import os
 import signal
 import sys
+import time
 from typing import TYPE_CHECKING
 
 
@@ -22,11 +23,12 @@
     from shallotroad.platform.settings import InstanceSettings
 
 
-EARLY_SIGNALS: list[int] = []
+# Monotonic time in seconds at which a signal first arrived while the process started.
+EARLY_SIGNALS_S: dict[int, float] = {}
 
 
 def _record_early_signal(signal_number: int, _: object) -> None:
-    EARLY_SIGNALS.append(signal_number)
+    EARLY_SIGNALS_S.setdefault(signal_number, time.monotonic())
 
 
 for handled_signal in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
@@ -40,10 +42,15 @@
     from shallotroad.observability.event_log import configure_event_log
 
     configure_event_log(process=settings.name)
-    stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    stop: asyncio.Future[float] = loop.create_future()
+
+    def request_stop() -> None:
+        if not stop.done():
+            stop.set_result(time.monotonic())
+
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop.set)
+        loop.add_signal_handler(signal_number, request_stop)
     reload_callbacks: set[Callable[[], None]] = set()
 
     def request_reload() -> None:
@@ -51,8 +58,13 @@
             callback()
 
     loop.add_signal_handler(signal.SIGHUP, request_reload)
-    if signal.SIGTERM in EARLY_SIGNALS or signal.SIGINT in EARLY_SIGNALS:
-        stop.set()
+    early_stops_s = [
+        requested_s
+        for signal_number, requested_s in EARLY_SIGNALS_S.items()
+        if signal_number in (signal.SIGTERM, signal.SIGINT)
+    ]
+    if early_stops_s and not stop.done():
+        stop.set_result(min(early_stops_s))
     gc.freeze()
     gc.enable()
     await serve(settings, caller_listener, stop, reload_callbacks)
--- a/tests/unit/gateway/test_main.py
+++ b/tests/unit/gateway/test_main.py
@@ -3,11 +3,14 @@
 import asyncio
 import gc
 import os
+import signal
 import socket
 import subprocess
 import sys
+import time
 from pathlib import Path
 from typing import TYPE_CHECKING
+from unittest.mock import MagicMock
 
 from devtools.processes import free_port
 
@@ -59,3 +62,35 @@
         gc.enable()
         gc.unfreeze()
     assert observed == [(True, True)]
+
+
+# Guards against a process that is killed at the end of its grace period, because that
+# was counted from the end of its start (soak seed 605).
+async def test_the_grace_period_begins_with_a_signal_during_the_start(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    requested: list[float] = []
+
+    async def serve(
+        _settings: object, _listener: object, stop: asyncio.Future[float], _: object
+    ) -> None:
+        requested.append(await stop)
+
+    monkeypatch.setattr(factory, "serve", serve)
+    monkeypatch.setattr(main, "EARLY_SIGNALS_S", {})
+    main._record_early_signal(signal.SIGTERM, None)
+    sent_s = main.EARLY_SIGNALS_S[signal.SIGTERM]
+    main._record_early_signal(signal.SIGTERM, None)
+    with socket.socket() as caller_listener:
+        await main._run(make_settings(), caller_listener)
+    assert requested == [sent_s]
+    gc.unfreeze()
+
+    settings = make_settings()
+    components = MagicMock(settings=settings)
+    server = MagicMock(open_requests=1)
+    already_s = settings.bounds.grace_s - factory.EXIT_RESERVE_S - 0.3
+    started_s = time.monotonic()
+    await factory._drain(components, server, started_s - already_s)
+    assert time.monotonic() - started_s < 1.0
+    server.interrupt_requests.assert_called_once()
