Name a restored document that predates the known one as what it is

Read as a newcomer: _may_be_lost_later said the opposite of what it returns, and the comment on fetching from peers could not be read alone. A private name and comments change, no logic.

--- a/src/shallotroad/gateway/store_watcher.py
+++ b/src/shallotroad/gateway/store_watcher.py
@@ -57,8 +57,8 @@
 STALE_WATCH_TIMEOUT_S = 1.0
 # Delay between watches, so that one call returns several changes.
 BATCH_DELAY_S = 0.15
-# Time after which the documents of a peer that is ahead are fetched, if the store was
-# heard from lately. Without a sign of it for the second time, they are fetched at once.
+# Time after which the documents of a peer that is ahead are fetched. If the store was
+# not heard from for PEER_FETCH_CONTACT_AGE_S, they are fetched at once.
 PEER_FETCH_DELAY_S = 0.4
 PEER_FETCH_CONTACT_AGE_S = 1.3
 # The delay doubles up to this value while changes come in quick succession.
@@ -215,7 +215,7 @@
         key = parse_key(document.key)
         if key is None:
             return
-        if current is not None and self._may_be_lost_later(current, document):
+        if current is not None and self._predates_known(current, document):
             return
         self._documents[document.key] = document
         self.change_count += 1
@@ -231,10 +231,10 @@
         else:
             self._apply_registration(key, document)
 
-    def _may_be_lost_later(self, current: Document, document: Document) -> bool:
-        """Return whether a restored document is older than the known one of its key.
+    def _predates_known(self, current: Document, document: Document) -> bool:
+        """Return whether a document of a restored store predates the known one.
 
-        The known one is then written to the store again soon.
+        The store has lost the known one, which is to be written to it again soon.
         """
         return (
             document.era > current.era
