--- a/review/common-3/standins_3.py
+++ b/review/common-3/standins_3.py
@@ -631,13 +631,17 @@
     record.add(f"disruption: {'yes' if trouble else 'no'}; {os.uname().machine}")
 
     async def main() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         with tempfile.TemporaryDirectory() as temporary:
             run = Run(record=record, folder=Path(temporary), trouble=trouble)
             try:
                 async with asyncio.timeout(timeout_s):
                     held = await case(run)
                 return HELD if held else BROKEN
-            except (CaseError, OSError, TimeoutError) as error:
+            except (Exception, asyncio.CancelledError) as error:
                 record.add(f"the case could not run: {error!r}")
                 return NOT_RUN
             finally:
