--- a/review/common-3/standins_3.py
+++ b/review/common-3/standins_3.py
@@ -9,6 +9,7 @@
 import asyncio
 import base64
 import contextlib
+import ctypes
 import json
 import os
 import signal
@@ -36,6 +37,9 @@
 BROKEN = 1
 NOT_RUN = 2
 START_TIMEOUT_S = 15.0
+# From linux/prctl.h.
+PR_SET_PDEATHSIG = 1
+LIBC = ctypes.CDLL(None)
 READ_BYTES = 65_536
 
 
@@ -391,6 +395,11 @@
     }
 
 
+def end_with_parent() -> None:
+    """Let the kernel kill this process when the script is killed."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Gateway:
     """One process of the deploy file, at a loopback address of its own."""
 
@@ -444,6 +453,7 @@
                 "-m",
                 "shallotroad.gateway.main",
                 cwd=REPOSITORY,
+                preexec_fn=end_with_parent,
                 env={
                     "PATH": os.environ.get("PATH", ""),
                     "HOME": os.environ.get("HOME", "/"),
@@ -633,8 +643,17 @@
     async def main() -> int:
         task = asyncio.current_task()
         assert task is not None
+        interrupted = False
+
+        def interrupt() -> None:
+            # A second signal does not keep the gateways from being ended.
+            nonlocal interrupted
+            if not interrupted:
+                interrupted = True
+                task.cancel()
+
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+            asyncio.get_running_loop().add_signal_handler(number, interrupt)
         with tempfile.TemporaryDirectory() as temporary:
             run = Run(record=record, folder=Path(temporary), trouble=trouble)
             try:
