Tell apart how the software version of a resumed stream is found

A log line said that the version was unknown, and nothing whether a gateway told it, whether it was taken as the only one of the service, or why it was refused.

The counter shallotroad_stream_resumptions_total has the source of each resumption. The log line has the source and how long ago the store was last heard of, and so has the reason of a refusal. No decision changes.

--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -242,6 +242,7 @@
         membership=membership,
         send=coordination_protocol.send,
         clock=clock,
+        contact_age_s=lambda: clock() - store_watcher.last_contact_s,
         restarted=not settings.first_start,
     )
     coordination_protocol.on_stream = stream_origins.handle
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -252,12 +252,13 @@
         if not (job.route.resumable and job.request.last_event_id):
             return
         origin = await self._stream_origins.recall(job)
-        if origin is None:
+        self._metrics.resumptions.inc({"source": origin.source})
+        if origin.software_version is None:
             raise RefusedError(
-                "the version that began the stream is not known",
+                f"the version that began the stream is not known: {origin.source}",
                 retry_after_s=UNKNOWN_ORIGIN_RETRY_AFTER_S,
             )
-        job.software_version = origin
+        job.software_version = origin.software_version
 
     async def _place(self, job: Job, splitter: EventStreamSplitter | None) -> Placement:
         """Place a job; a refusal is passed on only if no attempt may have run.
--- a/src/shallotroad/gateway/metrics.py
+++ b/src/shallotroad/gateway/metrics.py
@@ -55,6 +55,9 @@
         ``reason``.
     attempts : Counter
         Attempts by ``end``: "answered", "not run" or "unknown".
+    resumptions : Counter
+        Streams that callers resume, by ``source`` of the software version at which they
+        go on; see ``RecalledOrigin``.
     endpoint_losses : Counter
         Endpoints that ended connections with requests in flight, by ``cause``: "crash",
         "leaving" (it was draining) or "reset" (it still accepts connections).
@@ -119,6 +122,11 @@
             "Attempts at endpoints by end",
             registry=self.registry,
         )
+        self.resumptions = Counter(
+            "shallotroad_stream_resumptions_total",
+            "Streams that callers resume, by source of their software version",
+            registry=self.registry,
+        )
         self.endpoint_losses = Counter(
             "shallotroad_endpoint_losses_total",
             "Endpoints that ended connections with requests in flight, by cause",
--- a/src/shallotroad/gateway/stream_origins.py
+++ b/src/shallotroad/gateway/stream_origins.py
@@ -55,6 +55,23 @@
     recorded_s: float
 
 
+class RecalledOrigin(NamedTuple):
+    """The software version at which a stream goes on, and how it was found.
+
+    Parameters
+    ----------
+    software_version : str or None
+        None if it is not known.
+    source : str
+        "known here", "told" (by another gateway), "only version" (of the service's
+        endpoints), or why it is not known: "several versions", "no version" or
+        "recent start".
+    """
+
+    software_version: str | None
+    source: str
+
+
 class Ring(NamedTuple):
     """Names of gateways in the order of their hashes, and when it was made."""
 
@@ -96,6 +113,8 @@
     ----------
     send : callable
         Sends a message to the gateway of a name, without any guarantee of delivery.
+    contact_age_s : callable
+        Returns how long ago the store was last heard from.
     restarted : bool
         Whether streams may have begun before this process did.
     """
@@ -107,12 +126,14 @@
         membership: Membership,
         send: Callable[[str, Message], None],
         clock: Callable[[], float],
+        contact_age_s: Callable[[], float],
         restarted: bool,
     ) -> None:
         self._endpoint_registry = endpoint_registry
         self._membership = membership
         self._send = send
         self._clock = clock
+        self._contact_age_s = contact_age_s
         self._knows_versions_s = (
             clock() + VERSIONS_KNOWN_AFTER_S if restarted else -math.inf
         )
@@ -166,31 +187,39 @@
         names = ring.successors(key, ASKED + 1)
         return [name for name in names if name != self._membership.name][:ASKED]
 
-    async def recall(self, job: Job) -> str | None:
+    async def recall(self, job: Job) -> RecalledOrigin:
         """Return the version that began the stream which a job resumes.
 
         If no gateway knows it, it is the only version that the endpoints of the service
-        had of late; None if there are several, or may have been.
+        had of late, unless there were several, or may have been.
         """
-        version = None
         if job.request.resumes:
             key = stream_key(job)
             version = self._known(key)
-            if version is None:
-                version = await self._ask(key)
-        if version is not None:
-            return version
-        versions = self._endpoint_registry.software_versions(
-            job.service.name, STREAM_LIFETIME_S
-        )
+            if version is not None:
+                return RecalledOrigin(version, "known here")
+            version = await self._ask(key)
+            if version is not None:
+                return RecalledOrigin(version, "told")
+        origin, versions = self._only_version(job.service.name)
         log_event(
             "stream of unknown version resumed",
             request=job.request.request_id,
-            versions=len(versions),
+            versions=versions,
+            source=origin.source,
+            contact_age_s=round(self._contact_age_s(), 3),
         )
-        if len(versions) == 1 and self._clock() >= self._knows_versions_s:
-            return versions.pop()
-        return None
+        return origin
+
+    def _only_version(self, service: str) -> tuple[RecalledOrigin, int]:
+        """Return the only version of a service, and how many versions it had."""
+        versions = self._endpoint_registry.software_versions(service, STREAM_LIFETIME_S)
+        if len(versions) != 1:
+            source = "several versions" if versions else "no version"
+            return RecalledOrigin(None, source), len(versions)
+        if self._clock() < self._knows_versions_s:
+            return RecalledOrigin(None, "recent start"), 1
+        return RecalledOrigin(versions.pop(), "only version"), 1
 
     async def _ask(self, key: str) -> str | None:
         """Ask the gateways that may know a stream; return the first version told."""
--- a/tests/unit/gateway/test_stream_origins.py
+++ b/tests/unit/gateway/test_stream_origins.py
@@ -53,6 +53,7 @@
                 membership=membership,
                 send=self._sender(membership.name),
                 clock=self.clock,
+                contact_age_s=lambda: 0.0,
                 restarted=restarted,
             )
             for membership in make_memberships(count)
@@ -86,13 +87,19 @@
     return job
 
 
+async def recall_version(origins: StreamOrigins, job: Job) -> str | None:
+    return (await origins.recall(job)).software_version
+
+
 async def test_few_others_are_told_and_any_gateway_learns_the_version() -> None:
     gateways = Gateways(22)
     gateways.put("v1", "v2")
     gateways.origins["g0"].record(make_stream_job("q1"))
     assert len(gateways.sent) == 3
     for origins in gateways.origins.values():
-        assert await origins.recall(make_stream_job("r1", resumes="q1")) == "v1"
+        assert (
+            await recall_version(origins, make_stream_job("r1", resumes="q1")) == "v1"
+        )
 
 
 async def test_the_version_outlives_a_third_of_the_gateways() -> None:
@@ -102,7 +109,9 @@
         gateways.origins["g0"].record(make_stream_job(f"q{number}"))
     gateways.lost.update(f"g{number}" for number in range(8))
     known = [
-        await gateways.origins["g20"].recall(make_stream_job("r", resumes=f"q{n}"))
+        await recall_version(
+            gateways.origins["g20"], make_stream_job("r", resumes=f"q{n}")
+        )
         for n in range(60)
     ]
     assert set(known) <= {"v1", None}
@@ -114,7 +123,7 @@
     gateways.put("v1", "v2")
     gateways.origins["g0"].record(make_stream_job("q1"))
     job = make_stream_job("r1", resumes="q1", team="shop")
-    assert await gateways.origins["g1"].recall(job) is None
+    assert await recall_version(gateways.origins["g1"], job) is None
 
 
 async def test_a_version_that_was_there_of_late_may_have_begun_the_stream() -> None:
@@ -122,18 +131,18 @@
     gateways.put("v1", "v2")
     origins = gateways.origins["g0"]
     gateways.registry.remove("e-v1")
-    assert await origins.recall(make_stream_job("r1", resumes="q1")) is None
+    assert await recall_version(origins, make_stream_job("r1", resumes="q1")) is None
     gateways.clock.now_s += STREAM_LIFETIME_S + 1.0
-    assert await origins.recall(make_stream_job("r1", resumes="q1")) == "v2"
+    assert await recall_version(origins, make_stream_job("r1", resumes="q1")) == "v2"
 
 
 async def test_a_restarted_gateway_does_not_know_which_versions_there_were() -> None:
     gateways = Gateways(1, restarted=True)
     gateways.put("v2")
     origins = gateways.origins["g0"]
-    assert await origins.recall(make_stream_job("r1", resumes="q1")) is None
+    assert await recall_version(origins, make_stream_job("r1", resumes="q1")) is None
     gateways.clock.now_s += VERSIONS_KNOWN_AFTER_S
-    assert await origins.recall(make_stream_job("r1", resumes="q1")) == "v2"
+    assert await recall_version(origins, make_stream_job("r1", resumes="q1")) == "v2"
 
 
 def test_streams_are_forgotten_after_their_time_and_beyond_a_number() -> None:
@@ -152,7 +161,9 @@
     origins = gateways.origins["g0"]
     origins.handle(StreamRecalled(7, "v1"), lambda _: None)
     gateways.lost.add("g1")
-    task = asyncio.create_task(origins.recall(make_stream_job("r1", resumes="q1")))
+    task = asyncio.create_task(
+        recall_version(origins, make_stream_job("r1", resumes="q1"))
+    )
     await asyncio.sleep(0.01)
     origins.handle(StreamRecalled(1, None), lambda _: None)
     origins.handle(StreamRecalled(1, "v9"), lambda _: None)
