Take the only version of a service only if the store confirms it

Cause: if no gateway knows a stream, its version is taken to be the only one that the gateway knows of. The registry of a gateway that is cut off misses the versions that registered since, and nothing says so. Trace, process test on the source before: twelve lines 'stream of unknown version resumed' with versions 1, source 'only version' and contact_age_s 2.3, the first before the line 'store lost'; 3.6 in the variant with a later caller.

Also ruled out: that a holder told a wrong version; nobody was asked, as the gateway knew no other.

Change: the gateway asks the store for its revision and takes the version only if all changes up to it are known here, else it refuses with 503 and Retry-After 0.1.

--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -32,6 +32,7 @@
 from shallotroad.gateway.membership import Membership
 from shallotroad.gateway.metrics import GatewayMetrics
 from shallotroad.gateway.reload import Reloader
+from shallotroad.gateway.store_confirmation import StoreConfirmation
 from shallotroad.gateway.store_relay import WATCH_PATH
 from shallotroad.gateway.store_relay import StoreFollower
 from shallotroad.gateway.store_relay import StoreRelay
@@ -161,6 +162,9 @@
         started_s=clock(),
     )
     store_watcher = StoreWatcher(store=store, catalog=catalog, clock=clock)
+    store_confirmation = StoreConfirmation(
+        store=store, store_watcher=store_watcher, clock=clock
+    )
     rng = random.Random()
     coordination_protocol = CoordinationProtocol(membership=membership, clock=clock)
     admission = Admission(
@@ -243,6 +247,7 @@
         send=coordination_protocol.send,
         clock=clock,
         contact_age_s=lambda: clock() - store_watcher.last_contact_s,
+        confirm_registrations=store_confirmation.confirm,
         restarted=not settings.first_start,
     )
     coordination_protocol.on_stream = stream_origins.handle
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -16,9 +16,11 @@
 from typing import Protocol
 
 from shallotroad.catalog.configuration import RouteKind
+from shallotroad.gateway.admission import RETRY_AFTER_REMAINING_SHARE
 from shallotroad.gateway.exceptions import BrokenStreamError
 from shallotroad.gateway.exceptions import OutcomeUnknownError
 from shallotroad.gateway.exceptions import RefusedError
+from shallotroad.gateway.stream_origins import STORE_NOT_CONFIRMED
 from shallotroad.observability.event_log import log_event
 from shallotroad.platform.headers import encode_request_head
 from shallotroad.policy.engine_model import NOMINAL_MODEL
@@ -70,6 +72,9 @@
 NOT_RUN_RETRY_AFTER_S = 0.3
 # Retry-After when no gateway tells in time which version began a stream.
 UNKNOWN_ORIGIN_RETRY_AFTER_S = 0.5
+# Retry-After when this gateway can't be sure which versions there are. Another one, at
+# which the caller mostly returns, may be.
+UNCONFIRMED_ORIGIN_RETRY_AFTER_S = 0.1
 # A kept connection is reused only if it was idle for at most this long. The limit is
 # lower for jobs that are not repeatable, which can't be retried if it is lost.
 NON_REPEATABLE_MAX_IDLE_S = 1.0
@@ -254,9 +259,15 @@
         origin = await self._stream_origins.recall(job)
         self._metrics.resumptions.inc({"source": origin.source})
         if origin.software_version is None:
+            retry_after_s = UNKNOWN_ORIGIN_RETRY_AFTER_S
+            if origin.source == STORE_NOT_CONFIRMED:
+                retry_after_s = UNCONFIRMED_ORIGIN_RETRY_AFTER_S
+            remaining_s = max(0.0, job.deadline_s - self._clock())
             raise RefusedError(
                 f"the version that began the stream is not known: {origin.source}",
-                retry_after_s=UNKNOWN_ORIGIN_RETRY_AFTER_S,
+                retry_after_s=min(
+                    retry_after_s, RETRY_AFTER_REMAINING_SHARE * remaining_s
+                ),
             )
         job.software_version = origin.software_version
 
--- a/src/shallotroad/gateway/store_watcher.py
+++ b/src/shallotroad/gateway/store_watcher.py
@@ -41,6 +41,7 @@
     from shallotroad.gateway.store_relay import RelayedBatch
     from shallotroad.platform.store import DocumentBatch
     from shallotroad.platform.store import StoreClient
+    from shallotroad.platform.store import StorePosition
 
 # How long the store holds a watch without a change. A waiting watch learns neither of a
 # compacted history nor of a silent connection: the former is noticed after this time,
@@ -149,6 +150,10 @@
         """Newest revision among the known documents; -1 when there are none."""
         return self._known_revision
 
+    def has_reached(self, position: StorePosition) -> bool:
+        """Return whether all changes up to a position of the store are known."""
+        return position.era == self.era and position.revision <= self.revision
+
     async def wait_for_news(self, timeout_s: float) -> None:
         """Wait for a change, or for the success or failure of a call to the store."""
         try:
--- a/src/shallotroad/gateway/stream_origins.py
+++ b/src/shallotroad/gateway/stream_origins.py
@@ -24,6 +24,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
     from shallotroad.gateway.coordination.messages import Message
@@ -46,6 +47,8 @@
 MAX_STREAMS = 20_000
 KEY_BYTES = 12
 RING_MAX_AGE_S = 0.5
+# The source of an origin that another gateway may know.
+STORE_NOT_CONFIRMED = "store not confirmed"
 
 
 class Origin(NamedTuple):
@@ -64,8 +67,9 @@
         None if it is not known.
     source : str
         "known here", "told" (by another gateway), "only version" (of the service's
-        endpoints), or why it is not known: "several versions", "no version" or
-        "recent start".
+        endpoints), or why it is not known: "several versions", "no version", "recent
+        start" or "store not confirmed" (an endpoint of another version may have
+        registered).
     """
 
     software_version: str | None
@@ -115,6 +119,8 @@
         Sends a message to the gateway of a name, without any guarantee of delivery.
     contact_age_s : callable
         Returns how long ago the store was last heard from.
+    confirm_registrations : callable
+        Returns whether all endpoints are known that had registered before the call.
     restarted : bool
         Whether streams may have begun before this process did.
     """
@@ -127,6 +133,7 @@
         send: Callable[[str, Message], None],
         clock: Callable[[], float],
         contact_age_s: Callable[[], float],
+        confirm_registrations: Callable[[], Awaitable[bool]],
         restarted: bool,
     ) -> None:
         self._endpoint_registry = endpoint_registry
@@ -134,6 +141,7 @@
         self._send = send
         self._clock = clock
         self._contact_age_s = contact_age_s
+        self._confirm_registrations = confirm_registrations
         self._knows_versions_s = (
             clock() + VERSIONS_KNOWN_AFTER_S if restarted else -math.inf
         )
@@ -191,7 +199,8 @@
         """Return the version that began the stream which a job resumes.
 
         If no gateway knows it, it is the only version that the endpoints of the service
-        had of late, unless there were several, or may have been.
+        had of late. There may have been another one if the store does not confirm that
+        all registrations are known here.
         """
         if job.request.resumes:
             key = stream_key(job)
@@ -202,6 +211,11 @@
             if version is not None:
                 return RecalledOrigin(version, "told")
         origin, versions = self._only_version(job.service.name)
+        if origin.software_version is not None:
+            if await self._confirm_registrations():
+                origin, versions = self._only_version(job.service.name)
+            else:
+                origin = RecalledOrigin(None, STORE_NOT_CONFIRMED)
         log_event(
             "stream of unknown version resumed",
             request=job.request.request_id,
--- a/src/shallotroad/platform/store.py
+++ b/src/shallotroad/platform/store.py
@@ -11,6 +11,7 @@
 
 import orjson
 
+from shallotroad.platform.documents import CLOSURE_PREFIX
 from shallotroad.platform.documents import MAX_NUMBER
 from shallotroad.platform.documents import Document
 from shallotroad.platform.exceptions import RevisionCompactedError
@@ -49,6 +50,13 @@
     era: int = 0
 
 
+class StorePosition(NamedTuple):
+    """A revision of the store, and the era in which it was given out."""
+
+    revision: int
+    era: int
+
+
 class StoreResponse(NamedTuple):
     """Decoded body of a response, and the era of the store that sent it."""
 
@@ -179,6 +187,28 @@
         documents = _decode_documents(payload.get("events"), era)
         return DocumentBatch(int(payload.get("store-revision", after)), documents, era)
 
+    async def read_position(self) -> StorePosition:
+        """Return the position of the store at some moment after the call.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When the store sent no valid response in time.
+        """
+        # The closures are the fewest documents, and the revision is that of the store.
+        try:
+            payload, era = await self._get(
+                "/api/kv-range", {"prefix": CLOSURE_PREFIX}, RESPONSE_TIMEOUT_S
+            )
+        except RevisionCompactedError as error:
+            raise StoreUnavailableError(
+                f"the read needs no history: {error}"
+            ) from error
+        revision = payload.get("store-revision")
+        if type(revision) is not int or not 0 < revision <= MAX_NUMBER:
+            raise StoreUnavailableError(f"store revision {str(revision)[:40]!r}")
+        return StorePosition(revision, era)
+
     async def _get(
         self,
         path: str,
--- a/tests/processes/test_software_versions.py
+++ b/tests/processes/test_software_versions.py
@@ -11,6 +11,7 @@
 
 import pytest
 from devtools.dependency_standins import wait_until
+from devtools.fault_proxy import Fault
 from devtools.gateway_harness import GatewayHarness
 
 
@@ -141,6 +142,54 @@
     assert resumed_at(harness) == {"v1": 0, "v2": 0}
 
 
+# Guards against ORDER: a gateway that is cut off from the store and its peers takes the
+# only version that it knows of for the one that began a stream.
+@pytest.mark.parametrize("fault", [Fault.SILENT, Fault.CUT], ids=["silent", "closed"])
+@pytest.mark.parametrize("after_s", [0.0, 3.0], ids=["at-once", "later"])
+async def test_a_gateway_that_is_cut_off_does_not_guess_the_version(
+    harness: GatewayHarness, fault: Fault, after_s: float
+) -> None:
+    old = await harness.add_endpoint("m1", "model", "stream", software_version="v1")
+    store_link = await harness.add_proxy("g2", harness.store.port)
+    await harness.start("g1")
+    await harness.start("g2")
+    assert await resume(harness, "g2", "r0", "other") == 200
+    old.received.clear()
+    if fault is Fault.CUT:
+        store_link.disconnect()
+    store_link.fault = fault
+    await asyncio.sleep(after_s)
+    new = await harness.add_endpoint("m2", "model", "cut", software_version="v2")
+    harness.store.put("servers/m1", None)
+    await wait_for_endpoints(harness, "g1", {"m2"})
+    begun = await asyncio.gather(
+        *(harness.send_request("/notes/1", f"q{n}") for n in range(REQUESTS))
+    )
+    assert not any(response.complete for response in begun)
+    assert len(new.received) >= REQUESTS
+    statuses = await asyncio.gather(
+        *(resume(harness, "g2", f"r{n}", f"q{n}") for n in range(REQUESTS))
+    )
+    assert statuses == [503] * REQUESTS
+    assert old.received == []
+    store_link.clear_faults()
+    await wait_for_endpoints(harness, "g2", {"m2"})
+    assert await resume(harness, "g2", "r-later", "q0") == 503
+    assert old.received == []
+
+
+async def wait_for_endpoints(
+    harness: GatewayHarness, name: str, endpoints: set[str]
+) -> None:
+    """Wait until a gateway knows exactly these endpoints."""
+    async with asyncio.timeout(10.0):
+        known: set[str] = set()
+        while known != endpoints:
+            await asyncio.sleep(0.05)
+            rows = (await harness.dump(name))["endpoints"]
+            known = {row["endpoint"] for row in rows}
+
+
 async def test_a_stream_of_unknown_version_goes_on_where_there_is_one_version(
     harness: GatewayHarness,
 ) -> None:
--- a/tests/store_builders.py
+++ b/tests/store_builders.py
@@ -16,6 +16,7 @@
 from shallotroad.gateway.endpoint_registry import EndpointRegistry
 from shallotroad.gateway.gossip import EXCHANGE_INTERVAL_S
 from shallotroad.gateway.membership import Membership
+from shallotroad.gateway.store_confirmation import StoreConfirmation
 from shallotroad.gateway.store_relay import StoreFollower
 from shallotroad.gateway.store_relay import StoreRelay
 from shallotroad.gateway.store_watcher import StoreWatcher
@@ -27,6 +28,7 @@
 from shallotroad.platform.store import RESPONSE_TIMEOUT_S
 from shallotroad.platform.store import DocumentBatch
 from shallotroad.platform.store import StoreClient
+from shallotroad.platform.store import StorePosition
 from shallotroad.upstream.exceptions import CallFailedError
 from shallotroad.upstream.http_client import CallResult
 
@@ -153,6 +155,10 @@
             raise StoreUnavailableError("no complete response")
         return DocumentBatch(revision, changes, self._store.era)
 
+    async def read_position(self) -> StorePosition:
+        await self._begin_call(RESPONSE_TIMEOUT_S)
+        return StorePosition(self._store.revision, self._store.era)
+
 
 class StoreGateway(NamedTuple):
     """The parts of a gateway that learn of the store's changes."""
@@ -163,6 +169,7 @@
     catalog: Catalog
     relay: StoreRelay
     follower: StoreFollower
+    confirmation: StoreConfirmation
 
 
 class DataCentre:
@@ -199,8 +206,10 @@
             seeds=(),
             data_centre="a",
         )
-        watcher = StoreWatcher(
-            store=MemoryStoreClient(self.store, name), catalog=catalog, clock=clock
+        store = MemoryStoreClient(self.store, name)
+        watcher = StoreWatcher(store=store, catalog=catalog, clock=clock)
+        confirmation = StoreConfirmation(
+            store=store, store_watcher=watcher, clock=clock
         )
         follower = StoreFollower(
             membership=membership,
@@ -213,7 +222,7 @@
         watcher.reads_store = follower.reads_store
         relay = StoreRelay(store_watcher=watcher, clock=clock)
         self.gateways[name] = StoreGateway(
-            name, membership, watcher, catalog, relay, follower
+            name, membership, watcher, catalog, relay, follower, confirmation
         )
 
     def gossip(self) -> None:
--- a/tests/unit/gateway/test_stream_origins.py
+++ b/tests/unit/gateway/test_stream_origins.py
@@ -20,8 +20,10 @@
 from shallotroad.gateway.coordination.messages import encode
 from shallotroad.gateway.endpoint_registry import EndpointRegistry
 from shallotroad.gateway.stream_origins import MAX_STREAMS
+from shallotroad.gateway.stream_origins import STORE_NOT_CONFIRMED
 from shallotroad.gateway.stream_origins import STREAM_LIFETIME_S
 from shallotroad.gateway.stream_origins import VERSIONS_KNOWN_AFTER_S
+from shallotroad.gateway.stream_origins import RecalledOrigin
 from shallotroad.gateway.stream_origins import StreamOrigins
 from tests.budget_builders import make_memberships
 from tests.gateway_builders import Clock
@@ -46,6 +48,8 @@
         self.clock = Clock()
         self.registry = EndpointRegistry(clock=self.clock, regions={}, closed=set())
         self.lost: set[str] = set()
+        self.confirms = True
+        self.on_confirmed: Callable[[], None] = lambda: None
         self.sent: list[Message] = []
         self.origins = {
             membership.name: StreamOrigins(
@@ -54,11 +58,17 @@
                 send=self._sender(membership.name),
                 clock=self.clock,
                 contact_age_s=lambda: 0.0,
+                confirm_registrations=self._confirm,
                 restarted=restarted,
             )
             for membership in make_memberships(count)
         }
 
+    async def _confirm(self) -> bool:
+        if self.confirms:
+            self.on_confirmed()
+        return self.confirms
+
     def _sender(self, source: str) -> Callable[[str, Message], None]:
         def send(name: str, message: Message) -> None:
             self.sent.append(message)
@@ -136,6 +146,36 @@
     assert await recall_version(origins, make_stream_job("r1", resumes="q1")) == "v2"
 
 
+# Guards against ORDER: a gateway that is cut off takes the version that it knows of.
+async def test_the_only_known_version_is_not_taken_while_others_may_have_come() -> None:
+    gateways = Gateways(1)
+    gateways.put("v1")
+    origins = gateways.origins["g0"]
+    gateways.confirms = False
+    origin = await origins.recall(make_stream_job("r1", resumes="q1"))
+    assert origin == RecalledOrigin(None, STORE_NOT_CONFIRMED)
+    gateways.confirms = True
+    assert await recall_version(origins, make_stream_job("r2", resumes="q1")) == "v1"
+
+
+# Guards against ORDER: an endpoint of another version registers just before.
+async def test_a_version_that_the_store_shows_on_demand_may_have_begun_it() -> None:
+    gateways = Gateways(1)
+    gateways.put("v1")
+    gateways.on_confirmed = lambda: gateways.put("v2")
+    origin = await gateways.origins["g0"].recall(make_stream_job("r1", resumes="q1"))
+    assert origin == RecalledOrigin(None, "several versions")
+
+
+async def test_a_version_that_is_told_needs_no_confirmation() -> None:
+    gateways = Gateways(3)
+    gateways.put("v1", "v2")
+    gateways.confirms = False
+    gateways.origins["g0"].record(make_stream_job("q1"))
+    origin = await gateways.origins["g1"].recall(make_stream_job("r1", resumes="q1"))
+    assert origin.software_version == "v1"
+
+
 async def test_a_restarted_gateway_does_not_know_which_versions_there_were() -> None:
     gateways = Gateways(1, restarted=True)
     gateways.put("v2")
