Do not take a version as the only one after missed registrations

A version that registers and leaves while the gateway does not hear of the store, or that a restored store has lost, is in no list that the gateway reads afterwards. The store then confirms that the gateway is up to date, and the only version left is taken for that of a stream which the other one began. Only the start of a process was guarded.

Change: the store watcher notes since when it has seen every registration. A watch returns every change; a list or the news of another gateway after over 2 s of silence does not, unless nothing has changed, and neither does a store that was restored. For 30 s after that, as after the start of a process until now, a stream that no gateway knows is refused.

--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -161,7 +161,12 @@
         data_centre=settings.data_centre,
         started_s=clock(),
     )
-    store_watcher = StoreWatcher(store=store, catalog=catalog, clock=clock)
+    store_watcher = StoreWatcher(
+        store=store,
+        catalog=catalog,
+        clock=clock,
+        restarted=not settings.first_start,
+    )
     store_confirmation = StoreConfirmation(
         store=store, store_watcher=store_watcher, clock=clock
     )
@@ -248,7 +253,7 @@
         clock=clock,
         contact_age_s=lambda: clock() - store_watcher.last_contact_s,
         confirm_registrations=store_confirmation.confirm,
-        restarted=not settings.first_start,
+        registrations_known_since_s=lambda: store_watcher.complete_since_s,
     )
     coordination_protocol.on_stream = stream_origins.handle
     forwarder = Forwarder(
--- a/src/shallotroad/gateway/store_watcher.py
+++ b/src/shallotroad/gateway/store_watcher.py
@@ -78,6 +78,9 @@
 PEER_CONFIGURATION_S = 10.0
 # Time from the first sign of a restored store until all that it holds is taken over.
 RESTORE_SETTLING_S = 4.0
+# A registration stays in the store for longer than this, as an endpoint that leaves
+# serves on for some seconds, and one that falls silent is missed after as many.
+MIN_REGISTRATION_S = 2.0
 # How often a gateway that does not read the store checks whether it has to.
 READ_CHECK_INTERVAL_S = 0.1
 
@@ -85,6 +88,11 @@
 class StoreWatcher:
     """Applies documents of the store and of peers to the catalog.
 
+    Parameters
+    ----------
+    restarted : bool
+        Whether the store was in use before this process started.
+
     Attributes
     ----------
     revision : int
@@ -99,6 +107,9 @@
         the first.
     change_count : int
         Number of documents that were applied.
+    complete_since_s : float
+        Monotonic time since which no registration can have come and gone without being
+        seen here; infinite before the first contact of a process that restarted.
     reads_store : callable
         Returns whether this gateway has to read the store itself.
     """
@@ -109,10 +120,14 @@
         store: StoreClient,
         catalog: Catalog,
         clock: Callable[[], float],
+        restarted: bool = False,
     ) -> None:
         self._store = store
         self._catalog = catalog
         self._clock = clock
+        self.complete_since_s = math.inf if restarted else -math.inf
+        # When all changes up to ``revision`` were last known to be all that there were.
+        self._complete_s = -math.inf if restarted else clock()
         self._watch_timeout: asyncio.Timeout | None = None
         self._behind_since_s: float | None = None
         self._aborted_for_revision = -1
@@ -186,8 +201,11 @@
                 self._reconnected_s,
                 now_s + batch.removal_delay_s - REREGISTRATION_TIMEOUT_S,
             )
+        contact_s = now_s
         if in_touch:
             contact_s = max(self.last_contact_s, now_s - batch.contact_age_s)
+        self._check_for_missed_changes(batch.revision, contact_s)
+        if in_touch:
             self._record_contact(contact_s)
         for document in batch.documents:
             self.apply(document)
@@ -197,6 +215,30 @@
             self._behind_since_s = None
         self._announce_news()
 
+    def _check_for_missed_changes(self, revision: int, read_s: float) -> None:
+        """Note whether registrations may have come and gone unseen.
+
+        A list, and the news of another gateway, has only the latest state of each
+        document, while a watch returns every change.
+
+        Parameters
+        ----------
+        revision : int
+            Revision of the store up to which the changes were read.
+        read_s : float
+            Monotonic time at which the store had it.
+        """
+        unchanged = 0 <= revision <= self.revision
+        if unchanged or read_s - self._complete_s <= MIN_REGISTRATION_S:
+            return
+        log_event(
+            "registrations may have been missed",
+            revision=revision,
+            before=self.revision,
+            silence_s=round(min(999.0, read_s - self._complete_s), 2),
+        )
+        self.complete_since_s = read_s
+
     def _removal_time_s(self) -> float:
         """Return the earliest monotonic time to remove an unregistered endpoint.
 
@@ -276,6 +318,7 @@
         self._restored_revision = math.inf
         self._settles_at_s = math.inf
         if restored:
+            self._complete_s = -math.inf  # Changes that were not seen may be lost.
             self._settles_at_s = self._clock() + RESTORE_SETTLING_S
             self._reconnected_s = self._clock()
 
@@ -488,9 +531,10 @@
                 if settles or self.revision < 0 or self._should_list():
                     started_s = self._clock()
                     batch = await self._store.list_documents(self._apply_page)
-                    self._record_contact(self._clock())
                     self._list_next = False
                     self._take_era(batch.era)
+                    self._check_for_missed_changes(batch.revision, self._clock())
+                    self._record_contact(self._clock())
                     if settles:
                         self._settles_at_s = math.inf
                     self.apply_list(batch)
@@ -562,6 +606,7 @@
 
     def _record_contact(self, contact_s: float) -> None:
         self.last_contact_s = contact_s
+        self._complete_s = contact_s
         if not self.connected:
             self.connected = True
             if self._documents:
--- a/src/shallotroad/gateway/stream_origins.py
+++ b/src/shallotroad/gateway/stream_origins.py
@@ -41,7 +41,8 @@
 RECALL_TRIES = 2
 # A caller resumes a stream within its deadline.
 STREAM_LIFETIME_S = 60.0
-# A process that started earlier has seen all versions that may have begun a stream.
+# A gateway that has missed no registration for this long has seen all versions that may
+# have begun a stream.
 VERSIONS_KNOWN_AFTER_S = 30.0
 # About 3 MB.
 MAX_STREAMS = 20_000
@@ -67,9 +68,9 @@
         None if it is not known.
     source : str
         "known here", "told" (by another gateway), "only version" (of the service's
-        endpoints), or why it is not known: "several versions", "no version", "recent
-        start" or "store not confirmed" (an endpoint of another version may have
-        registered).
+        endpoints), or why it is not known: "several versions", "no version",
+        "registrations missed" (of late) or "store not confirmed" (an endpoint of
+        another version may have registered).
     """
 
     software_version: str | None
@@ -121,8 +122,8 @@
         Returns how long ago the store was last heard from.
     confirm_registrations : callable
         Returns whether all endpoints are known that had registered before the call.
-    restarted : bool
-        Whether streams may have begun before this process did.
+    registrations_known_since_s : callable
+        Returns the monotonic time in seconds since which no registration was missed.
     """
 
     def __init__(
@@ -134,7 +135,7 @@
         clock: Callable[[], float],
         contact_age_s: Callable[[], float],
         confirm_registrations: Callable[[], Awaitable[bool]],
-        restarted: bool,
+        registrations_known_since_s: Callable[[], float],
     ) -> None:
         self._endpoint_registry = endpoint_registry
         self._membership = membership
@@ -142,9 +143,7 @@
         self._clock = clock
         self._contact_age_s = contact_age_s
         self._confirm_registrations = confirm_registrations
-        self._knows_versions_s = (
-            clock() + VERSIONS_KNOWN_AFTER_S if restarted else -math.inf
-        )
+        self._registrations_known_since_s = registrations_known_since_s
         self._origins: OrderedDict[str, Origin] = OrderedDict()
         self._recalls: dict[int, asyncio.Future[str | None]] = {}
         self._unanswered: dict[int, int] = {}
@@ -199,8 +198,8 @@
         """Return the version that began the stream which a job resumes.
 
         If no gateway knows it, it is the only version that the endpoints of the service
-        had of late. There may have been another one if the store does not confirm that
-        all registrations are known here.
+        had of late. There may have been another one if registrations were missed, or if
+        the store does not confirm that all of them are known here.
         """
         if job.request.resumes:
             key = stream_key(job)
@@ -231,8 +230,8 @@
         if len(versions) != 1:
             source = "several versions" if versions else "no version"
             return RecalledOrigin(None, source), len(versions)
-        if self._clock() < self._knows_versions_s:
-            return RecalledOrigin(None, "recent start"), 1
+        if self._clock() < self._registrations_known_since_s() + VERSIONS_KNOWN_AFTER_S:
+            return RecalledOrigin(None, "registrations missed"), 1
         return RecalledOrigin(versions.pop(), "only version"), 1
 
     async def _ask(self, key: str) -> str | None:
--- a/tests/store_builders.py
+++ b/tests/store_builders.py
@@ -45,6 +45,21 @@
 SETTLED_HEARTBEATS = 10
 
 
+def registration(sequence: int, **changes: Any) -> dict[str, Any]:
+    return {
+        "service": "scribe",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "cold-remaining-ms": 0,
+        "sequence": sequence,
+        "born": 5,
+        **changes,
+    }
+
+
 class MemoryStore:
     """Documents with revisions, and who can't reach them.
 
@@ -170,6 +185,7 @@
     relay: StoreRelay
     follower: StoreFollower
     confirmation: StoreConfirmation
+    registry: EndpointRegistry
 
 
 class DataCentre:
@@ -183,6 +199,7 @@
         self, count: int, *, propagation_s: float = 4.0, exchanges: bool = False
     ) -> None:
         self._exchanges = exchanges
+        self._propagation_s = propagation_s
         self._rng = random.Random(count)
         self.store = MemoryStore()
         self.cut_off: set[str] = set()
@@ -192,7 +209,17 @@
             self._add(f"g{number}", propagation_s)
         self.gossip()
 
-    def _add(self, name: str, propagation_s: float) -> None:
+    def restart(self, name: str) -> str:
+        """Add a process that starts while the store is in use; return its name."""
+        restarted = f"{name}-restarted"
+        self._add(restarted, self._propagation_s, restarted=True)
+        self.gossip()
+        gateway = self.gateways[restarted]
+        for run in (gateway.watcher.run, gateway.follower.follow_periodically):
+            self._tasks.append(asyncio.create_task(run()))
+        return restarted
+
+    def _add(self, name: str, propagation_s: float, *, restarted: bool = False) -> None:
         clock = asyncio.get_running_loop().time
         registry = EndpointRegistry(clock=clock, regions={}, closed=set())
         catalog = Catalog(
@@ -207,7 +234,9 @@
             data_centre="a",
         )
         store = MemoryStoreClient(self.store, name)
-        watcher = StoreWatcher(store=store, catalog=catalog, clock=clock)
+        watcher = StoreWatcher(
+            store=store, catalog=catalog, clock=clock, restarted=restarted
+        )
         confirmation = StoreConfirmation(
             store=store, store_watcher=watcher, clock=clock
         )
@@ -222,7 +251,14 @@
         watcher.reads_store = follower.reads_store
         relay = StoreRelay(store_watcher=watcher, clock=clock)
         self.gateways[name] = StoreGateway(
-            name, membership, watcher, catalog, relay, follower, confirmation
+            name,
+            membership,
+            watcher,
+            catalog,
+            relay,
+            follower,
+            confirmation,
+            registry,
         )
 
     def gossip(self) -> None:
--- a/tests/unit/gateway/test_restored_store.py
+++ b/tests/unit/gateway/test_restored_store.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from typing import TYPE_CHECKING
-from typing import Any
 
 import orjson
 import pytest
@@ -18,6 +17,7 @@
 from shallotroad.platform.documents import Document
 from tests.configuration_builders import configuration_fields
 from tests.store_builders import DataCentre
+from tests.store_builders import registration
 from tests.virtual_time import VirtualTimePolicy
 
 
@@ -31,21 +31,6 @@
 SETTLED_S = RESTORE_SETTLING_S + 3.0
 
 
-def registration(sequence: int, **changes: Any) -> dict[str, Any]:
-    return {
-        "service": "scribe",
-        "address": "10.0.0.1:80",
-        "zone": "a",
-        "version": "v1",
-        "slots": 4,
-        "state": "ready",
-        "cold-remaining-ms": 0,
-        "sequence": sequence,
-        "born": 5,
-        **changes,
-    }
-
-
 @pytest.fixture
 def event_loop_policy() -> VirtualTimePolicy:
     return VirtualTimePolicy()
--- a/tests/unit/gateway/test_store_confirmation.py
+++ b/tests/unit/gateway/test_store_confirmation.py
@@ -17,108 +17,97 @@
 from shallotroad.platform.store import StorePosition
 from shallotroad.upstream.http_client import CallResult
 from tests.store_builders import DataCentre
-from tests.virtual_time import VirtualTimeLoop
+from tests.virtual_time import VirtualTimePolicy
 
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-    from collections.abc import Coroutine
+    from collections.abc import AsyncIterator
 
 GATEWAYS = 6
 ENDPOINT = "servers/e1"
 
 
-def play(scenario: Callable[[DataCentre], Coroutine[Any, Any, None]]) -> None:
-    """Play a scenario with gateways that read the store or follow a reader."""
+@pytest.fixture
+def event_loop_policy() -> VirtualTimePolicy:
+    return VirtualTimePolicy()
 
-    async def run() -> None:
-        data_centre = DataCentre(GATEWAYS)
-        data_centre.start()
-        await asyncio.sleep(3.0)
-        try:
-            await scenario(data_centre)
-        finally:
-            await data_centre.stop()
 
-    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
-        runner.run(run())
+@pytest.fixture
+async def centre() -> AsyncIterator[DataCentre]:
+    """Gateways that read the store, or follow one that does."""
+    data_centre = DataCentre(GATEWAYS)
+    data_centre.start()
+    await asyncio.sleep(3.0)
+    yield data_centre
+    await data_centre.stop()
 
 
 # Guards against ORDER: a version registers just before a stream is taken up.
-def test_what_was_registered_before_the_call_is_known_after_it() -> None:
-    async def scenario(data_centre: DataCentre) -> None:
-        for number in range(40):
-            for name, gateway in data_centre.gateways.items():
-                key = f"servers/{number}-{name}"
-                revision = data_centre.store.put(key, {"service": "s"})
-                assert await gateway.confirmation.confirm()
-                assert gateway.watcher.known_revision >= revision
-            await asyncio.sleep(0.13)
-
-    play(scenario)
-
-
-@pytest.mark.parametrize("fault", ["silenced", "refused"])
-def test_a_gateway_that_is_cut_off_from_the_store_confirms_nothing(fault: str) -> None:
-    async def scenario(data_centre: DataCentre) -> None:
-        getattr(data_centre.store, fault).update(data_centre.gateways)
-        data_centre.store.put(ENDPOINT, {"service": "s"})
-        loop = asyncio.get_running_loop()
-        for gateway in data_centre.gateways.values():
-            called_s = loop.time()
-            assert not await gateway.confirmation.confirm()
-            assert loop.time() - called_s <= CONFIRMATION_TIMEOUT_S + 0.01
-        await asyncio.sleep(5.0)
-        calls = dict(data_centre.store.calls)
-        for gateway in data_centre.gateways.values():
-            assert not await gateway.confirmation.confirm()
-        assert data_centre.store.calls == calls
-        getattr(data_centre.store, fault).clear()
-        await asyncio.sleep(3.0)
-        for gateway in data_centre.gateways.values():
+async def test_what_was_registered_before_the_call_is_known_after_it(
+    centre: DataCentre,
+) -> None:
+    for number in range(40):
+        for name, gateway in centre.gateways.items():
+            key = f"servers/{number}-{name}"
+            revision = centre.store.put(key, {"service": "s"})
             assert await gateway.confirmation.confirm()
-
-    play(scenario)
-
-
-def test_one_read_serves_many_callers() -> None:
-    async def scenario(data_centre: DataCentre) -> None:
-        gateway = data_centre.gateways[data_centre.followers()[0]]
-        loop = asyncio.get_running_loop()
-        before = data_centre.store.calls.get(gateway.name, 0)
-        started_s = loop.time()
-        confirmations = []
-        for _ in range(200):
-            confirmations.append(asyncio.create_task(gateway.confirmation.confirm()))
-            await asyncio.sleep(0.005)
-        assert all(await asyncio.gather(*confirmations))
-        reads = data_centre.store.calls[gateway.name] - before
-        assert reads <= (loop.time() - started_s) / MIN_READ_INTERVAL_S + 1
-
-    play(scenario)
+            assert gateway.watcher.known_revision >= revision
+        await asyncio.sleep(0.13)
 
 
-def test_a_store_that_was_restored_is_read_anew_first() -> None:
-    async def scenario(data_centre: DataCentre) -> None:
-        data_centre.store.put(ENDPOINT, {"service": "s"})
-        await asyncio.sleep(2.0)
-        data_centre.store.restore(0)
-        for gateway in data_centre.gateways.values():
-            if await gateway.confirmation.confirm():
-                assert gateway.watcher.era == data_centre.store.era
-
-    play(scenario)
-
-
-def test_an_answer_that_is_older_than_what_is_known_confirms_nothing() -> None:
-    async def scenario(data_centre: DataCentre) -> None:
-        data_centre.store.put(ENDPOINT, {"service": "s"})
-        await asyncio.sleep(3.0)
-        gateway = data_centre.gateways["g0"]
-        del data_centre.store.changes[:]
+@pytest.mark.parametrize("fault", ["silenced", "refused"])
+async def test_a_gateway_that_is_cut_off_from_the_store_confirms_nothing(
+    centre: DataCentre, fault: str
+) -> None:
+    getattr(centre.store, fault).update(centre.gateways)
+    centre.store.put(ENDPOINT, {"service": "s"})
+    loop = asyncio.get_running_loop()
+    for gateway in centre.gateways.values():
+        called_s = loop.time()
         assert not await gateway.confirmation.confirm()
-
-    play(scenario)
+        assert loop.time() - called_s <= CONFIRMATION_TIMEOUT_S + 0.01
+    await asyncio.sleep(5.0)
+    calls = dict(centre.store.calls)
+    for gateway in centre.gateways.values():
+        assert not await gateway.confirmation.confirm()
+    assert centre.store.calls == calls
+    getattr(centre.store, fault).clear()
+    await asyncio.sleep(3.0)
+    for gateway in centre.gateways.values():
+        assert await gateway.confirmation.confirm()
+
+
+async def test_one_read_serves_many_callers(centre: DataCentre) -> None:
+    gateway = centre.gateways[centre.followers()[0]]
+    loop = asyncio.get_running_loop()
+    before = centre.store.calls.get(gateway.name, 0)
+    started_s = loop.time()
+    confirmations = []
+    for _ in range(200):
+        confirmations.append(asyncio.create_task(gateway.confirmation.confirm()))
+        await asyncio.sleep(0.005)
+    assert all(await asyncio.gather(*confirmations))
+    reads = centre.store.calls[gateway.name] - before
+    assert reads <= (loop.time() - started_s) / MIN_READ_INTERVAL_S + 1
+
+
+async def test_a_store_that_was_restored_is_read_anew_first(centre: DataCentre) -> None:
+    centre.store.put(ENDPOINT, {"service": "s"})
+    await asyncio.sleep(2.0)
+    centre.store.restore(0)
+    for gateway in centre.gateways.values():
+        if await gateway.confirmation.confirm():
+            assert gateway.watcher.era == centre.store.era
+
+
+async def test_an_answer_that_is_older_than_what_is_known_confirms_nothing(
+    centre: DataCentre,
+) -> None:
+    centre.store.put(ENDPOINT, {"service": "s"})
+    await asyncio.sleep(3.0)
+    gateway = centre.gateways["g0"]
+    del centre.store.changes[:]
+    assert not await gateway.confirmation.confirm()
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/gateway/test_stream_origins.py
+++ b/tests/unit/gateway/test_stream_origins.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -49,6 +50,7 @@
         self.registry = EndpointRegistry(clock=self.clock, regions={}, closed=set())
         self.lost: set[str] = set()
         self.confirms = True
+        self.known_since_s = self.clock() if restarted else -math.inf
         self.on_confirmed: Callable[[], None] = lambda: None
         self.sent: list[Message] = []
         self.origins = {
@@ -59,7 +61,7 @@
                 clock=self.clock,
                 contact_age_s=lambda: 0.0,
                 confirm_registrations=self._confirm,
-                restarted=restarted,
+                registrations_known_since_s=lambda: self.known_since_s,
             )
             for membership in make_memberships(count)
         }
