Count replies on the beginning of a stream for their own question only

Class: 'nobody knows' taken for true though not all who were asked have said so.

Cause: a gateway asks others twice under one number. A reply to the first question that came during the second was counted beside the same gateway's second reply, so the count of silent gateways reached none while another one, which knew the version, had not replied. The caller was refused beside two versions.

Change: each question has its own number and count; a version that is told is taken from any of them.

test_a_reply_to_an_earlier_question_is_not_taken_for_a_later_one: None in place of v1 before, v1 now.

--- a/src/shallotroad/gateway/stream_origins.py
+++ b/src/shallotroad/gateway/stream_origins.py
@@ -14,6 +14,7 @@
 from bisect import bisect
 from collections import OrderedDict
 from typing import TYPE_CHECKING
+from typing import Any
 from typing import NamedTuple
 
 from shallotroad.gateway.coordination.messages import RecallStream
@@ -91,6 +92,43 @@
         return names[:count]
 
 
+class Question:
+    """A question to some gateways, which may be asked again later.
+
+    Parameters
+    ----------
+    told : Future of str
+        Gets the first version that one of them tells, also of an earlier question.
+
+    Attributes
+    ----------
+    names : list of str
+        The gateways that are asked.
+    all_replied : Future
+        Done once all of them have replied to this question.
+    """
+
+    def __init__(self, *, told: asyncio.Future[str], names: list[str]) -> None:
+        self._told = told
+        self._silent = len(names)
+        self.names = names
+        self.all_replied: asyncio.Future[None] = told.get_loop().create_future()
+        self._check_complete()
+
+    def record_reply(self, software_version: str | None) -> None:
+        """Take the reply of a gateway; those beyond their number are ignored."""
+        if self.all_replied.done():
+            return
+        self._silent -= 1
+        if software_version is not None and not self._told.done():
+            self._told.set_result(software_version)
+        self._check_complete()
+
+    def _check_complete(self) -> None:
+        if not self._silent:
+            self.all_replied.set_result(None)
+
+
 def _hash(text: str) -> bytes:
     return hashlib.blake2b(text.encode(), digest_size=KEY_BYTES).digest()
 
@@ -145,8 +183,7 @@
         self._confirm_registrations = confirm_registrations
         self._registrations_known_since_s = registrations_known_since_s
         self._origins: OrderedDict[str, Origin] = OrderedDict()
-        self._recalls: dict[int, asyncio.Future[str | None]] = {}
-        self._unanswered: dict[int, int] = {}
+        self._questions: dict[int, Question] = {}
         self._last_number = 0
         self._live_ring = Ring(-math.inf, [], [])
 
@@ -236,26 +273,34 @@
 
     async def _ask(self, key: str) -> str | None:
         """Ask the gateways that may know a stream; return the first version told."""
-        names = self._asked(key)
-        if not names:
-            return None
-        self._last_number += 1
-        number = self._last_number
-        answer: asyncio.Future[str | None] = asyncio.get_running_loop().create_future()
-        self._recalls[number] = answer
-        sender = Sender(self._membership.name, self._membership.incarnation)
+        told: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        numbers: list[int] = []
         try:
             for _ in range(RECALL_TRIES):
-                self._unanswered[number] = len(names)
-                for name in names:
-                    self._send(name, RecallStream(sender, number, key))
-                done, _ = await asyncio.wait([answer], timeout=REPLY_TIMEOUT_S)
-                if done:
-                    return answer.result()
+                self._last_number += 1
+                numbers.append(self._last_number)
+                question = Question(told=told, names=self._asked(key))
+                self._questions[self._last_number] = question
+                self._send_question(self._last_number, key, question)
+                ends: list[asyncio.Future[Any]] = [told, question.all_replied]
+                await asyncio.wait(
+                    ends,
+                    timeout=REPLY_TIMEOUT_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if told.done():
+                    return told.result()
+                if question.all_replied.done():
+                    return None
             return None
         finally:
-            del self._recalls[number]
-            del self._unanswered[number]
+            for number in numbers:
+                del self._questions[number]
+
+    def _send_question(self, number: int, key: str, question: Question) -> None:
+        sender = Sender(self._membership.name, self._membership.incarnation)
+        for name in question.names:
+            self._send(name, RecallStream(sender, number, key))
 
     def handle(
         self,
@@ -271,9 +316,6 @@
             self._take_answer(message)
 
     def _take_answer(self, message: StreamRecalled) -> None:
-        answer = self._recalls.get(message.number)
-        if answer is None or answer.done():
-            return
-        self._unanswered[message.number] -= 1
-        if message.software_version is not None or not self._unanswered[message.number]:
-            answer.set_result(message.software_version)
+        question = self._questions.get(message.number)
+        if question is not None:
+            question.record_reply(message.software_version)
--- a/tests/unit/gateway/test_stream_origins.py
+++ b/tests/unit/gateway/test_stream_origins.py
@@ -21,6 +21,7 @@
 from shallotroad.gateway.coordination.messages import encode
 from shallotroad.gateway.endpoint_registry import EndpointRegistry
 from shallotroad.gateway.stream_origins import MAX_STREAMS
+from shallotroad.gateway.stream_origins import REPLY_TIMEOUT_S
 from shallotroad.gateway.stream_origins import STORE_NOT_CONFIRMED
 from shallotroad.gateway.stream_origins import STREAM_LIFETIME_S
 from shallotroad.gateway.stream_origins import VERSIONS_KNOWN_AFTER_S
@@ -212,6 +213,23 @@
     assert await task is None
 
 
+# Guards against LOST: a late reply counts as that of a gateway that has not replied.
+async def test_a_reply_to_an_earlier_question_is_not_taken_for_a_later_one() -> None:
+    gateways = Gateways(3)
+    gateways.put("v1", "v2")
+    gateways.lost.update(("g1", "g2"))
+    origins = gateways.origins["g0"]
+    job = make_stream_job("r1", resumes="q1")
+    task = asyncio.create_task(recall_version(origins, job))
+    await asyncio.sleep(1.5 * REPLY_TIMEOUT_S)
+    first, _, second, _ = (m.number for m in gateways.sent)  # type: ignore
+    origins.handle(StreamRecalled(first, None), lambda _: None)
+    origins.handle(StreamRecalled(second, None), lambda _: None)
+    await asyncio.sleep(0)
+    origins.handle(StreamRecalled(second, "v1"), lambda _: None)
+    assert await task == "v1"
+
+
 @pytest.mark.parametrize(
     "fields",
     [
