Ask again for a stream's version while gossip brings more gateways

What callers saw: streams of a gateway that was killed were refused beside two versions where they came back, although three gateways knew them.

test_a_gateway_that_has_just_started_asks_others_as_it_learns_of_them: refused at once before, v1 now.

--- a/src/shallotroad/gateway/stream_origins.py
+++ b/src/shallotroad/gateway/stream_origins.py
@@ -40,6 +40,8 @@
 ASKED = 6
 REPLY_TIMEOUT_S = 0.12
 RECALL_TRIES = 2
+# A gateway that has just started learns of the others meanwhile, by gossip.
+RECALL_TRIES_AT_START = 6
 # A caller resumes a stream within its deadline.
 STREAM_LIFETIME_S = 60.0
 # A gateway that has missed no registration for this long has seen all versions that may
@@ -272,17 +274,24 @@
         return RecalledOrigin(versions.pop(), "only version"), 1
 
     async def _ask(self, key: str) -> str | None:
-        """Ask the gateways that may know a stream; return the first version told."""
+        """Ask the gateways that may know a stream; return the first version told.
+
+        Before gossip has converged, the gateways that may know it are not all known
+        here, so they are asked again even if all known ones have replied.
+        """
         told: asyncio.Future[str] = asyncio.get_running_loop().create_future()
         numbers: list[int] = []
+        all_known = self._membership.has_converged(self._clock())
         try:
-            for _ in range(RECALL_TRIES):
+            for _ in range(RECALL_TRIES if all_known else RECALL_TRIES_AT_START):
                 self._last_number += 1
                 numbers.append(self._last_number)
                 question = Question(told=told, names=self._asked(key))
                 self._questions[self._last_number] = question
                 self._send_question(self._last_number, key, question)
-                ends: list[asyncio.Future[Any]] = [told, question.all_replied]
+                ends: list[asyncio.Future[Any]] = [told]
+                if all_known:
+                    ends.append(question.all_replied)
                 await asyncio.wait(
                     ends,
                     timeout=REPLY_TIMEOUT_S,
@@ -290,7 +299,7 @@
                 )
                 if told.done():
                     return told.result()
-                if question.all_replied.done():
+                if all_known and question.all_replied.done():
                     return None
             return None
         finally:
--- a/tests/unit/gateway/test_stream_origins.py
+++ b/tests/unit/gateway/test_stream_origins.py
@@ -27,6 +27,7 @@
 from shallotroad.gateway.stream_origins import VERSIONS_KNOWN_AFTER_S
 from shallotroad.gateway.stream_origins import RecalledOrigin
 from shallotroad.gateway.stream_origins import StreamOrigins
+from tests.budget_builders import make_membership
 from tests.budget_builders import make_memberships
 from tests.gateway_builders import Clock
 from tests.gateway_builders import make_gateway_job
@@ -39,6 +40,7 @@
 
     from shallotroad.gateway.coordination.messages import Message
     from shallotroad.gateway.job import Job
+    from shallotroad.gateway.membership import Membership
 
 SENDER = Sender("g1", 1)
 
@@ -54,18 +56,20 @@
         self.known_since_s = self.clock() if restarted else -math.inf
         self.on_confirmed: Callable[[], None] = lambda: None
         self.sent: list[Message] = []
-        self.origins = {
-            membership.name: StreamOrigins(
-                endpoint_registry=self.registry,
-                membership=membership,
-                send=self._sender(membership.name),
-                clock=self.clock,
-                contact_age_s=lambda: 0.0,
-                confirm_registrations=self._confirm,
-                registrations_known_since_s=lambda: self.known_since_s,
-            )
-            for membership in make_memberships(count)
-        }
+        self.origins: dict[str, StreamOrigins] = {}
+        for membership in make_memberships(count):
+            self.add(membership)
+
+    def add(self, membership: Membership) -> None:
+        self.origins[membership.name] = StreamOrigins(
+            endpoint_registry=self.registry,
+            membership=membership,
+            send=self._sender(membership.name),
+            clock=self.clock,
+            contact_age_s=lambda: 0.0,
+            confirm_registrations=self._confirm,
+            registrations_known_since_s=lambda: self.known_since_s,
+        )
 
     async def _confirm(self) -> bool:
         if self.confirms:
@@ -75,7 +79,7 @@
     def _sender(self, source: str) -> Callable[[str, Message], None]:
         def send(name: str, message: Message) -> None:
             self.sent.append(message)
-            if not {source, name} & self.lost:
+            if name in self.origins and not {source, name} & self.lost:
                 message = decode(encode(message, 0.0), 0.0)
                 assert isinstance(message, StreamBegan | RecallStream | StreamRecalled)
                 reply = lambda answer: self._sender(name)(source, answer)  # noqa: E731
@@ -230,6 +234,25 @@
     assert await task == "v1"
 
 
+# Guards against LOST: a gateway asks only those that it knows right after its start.
+async def test_a_gateway_that_has_just_started_asks_others_as_it_learns_of_them() -> (
+    None
+):
+    gateways = Gateways(5)
+    gateways.put("v1", "v2")
+    gateways.origins["g0"].record(make_stream_job("q1"))
+    membership = make_membership(5, started_s=gateways.clock())
+    membership.merge([["g9", "10.0.0.9:1", 1, 0, False, 1.0, 0, ""]], gateways.clock())
+    gateways.add(membership)
+    job = make_stream_job("r1", resumes="q1")
+    task = asyncio.create_task(recall_version(gateways.origins["g5"], job))
+    await asyncio.sleep(2.5 * REPLY_TIMEOUT_S)
+    assert not task.done()
+    rows = [member.snapshot()[0] for member in make_memberships(5)]
+    membership.merge(rows, gateways.clock())
+    assert await task == "v1"
+
+
 @pytest.mark.parametrize(
     "fields",
     [
