Read the body of a request that offers another protocol

Cause: at a head with an offer the HTTP parser reports the end of the request and stops, as if the other protocol followed. The connection took that for the end of the body and dropped all further input.

Change: the offer is not taken. Another parser continues behind the head with the headers that frame the body. CONNECT is refused with 501.

--- a/src/shallotroad/http_server/connection.py
+++ b/src/shallotroad/http_server/connection.py
@@ -82,6 +82,9 @@
 # Before an idle connection is closed, input that has arrived is read for this long.
 IDLE_CLOSE_DELAY_S = 0.01
 HTTP_1_0 = "1.0"
+# Headers that say where the body of a request ends.
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
+TUNNEL_METHOD = "CONNECT"
 # Interruption for a caller that left, or only shut down its sending side.
 CALLER_STOPPED_SENDING = "the caller stopped sending"
 
@@ -359,6 +362,8 @@
         self._written_bytes = 0
         self._discards_input = False
         self._in_message = False
+        # Whether the parser is given the head of a request again, which has been read.
+        self._repeats_head = False
         self._handler_runs = False
         self._end_reason = "the caller closed the connection"
         # Status of the response to bytes that are no request, which has to wait for
@@ -490,15 +495,13 @@
         self._unparsed_bytes += len(data)
         self._silent_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # The request is complete. It is served as if it asked for no upgrade, and
-            # what follows it is in a protocol that is not spoken here.
-            self._stop_reading_requests()
-            return
+            while data and not self._discards_input:
+                data = self._feed_until_upgrade(data)
         except httptools.HttpParserError:
             self._reject(400)
             return
+        if self._discards_input:
+            return
         if self._unparsed_bytes > MAX_UNPARSED_BYTES or self._head_too_large:
             self._server.account.on_closed(HEAD_TOO_LARGE)
             self._reject(431)
@@ -506,6 +509,46 @@
             self._server.account.on_closed(EMPTY_LINES)
             self._reject(400)
 
+    def _feed_until_upgrade(self, data: memoryview) -> memoryview:
+        """Let the parser have input; return what follows a head that ends its work.
+
+        The parser stops after a head that offers another protocol, as if the request
+        were complete and that protocol followed. The offer is not taken, so the request
+        goes on with its body.
+
+        Raises
+        ------
+        httptools.HttpParserError
+            When the input is not a request.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            if self._receiving is None:
+                self._reject(501)  # The method asks for a tunnel.
+            else:
+                self._continue_after_head(self._receiving)
+            return data[error.args[0] :]
+        return data[:0]
+
+    def _continue_after_head(self, request: ServerRequest) -> None:
+        """Begin a parser behind the head of a request, without its other headers."""
+        version = b"1.1" if request.chunked_allowed else b"1.0"
+        lines = [b"POST / HTTP/" + version]
+        lines += [
+            name + b": " + value
+            for name, value in request.headers
+            if name.lower() in FRAMING_HEADERS
+        ]
+        persistence = b"keep-alive" if request.keeps_alive else b"close"
+        lines += [b"Connection: " + persistence, b"", b""]
+        self._parser = httptools.HttpRequestParser(self)
+        self._repeats_head = True
+        try:
+            self._parser.feed_data(b"\r\n".join(lines))
+        finally:
+            self._repeats_head = False
+
     @property
     def _head_too_large(self) -> bool:
         """Whether the head that arrives is over the limit, its last line included."""
@@ -603,6 +646,8 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
+        if self._repeats_head:
+            return
         self._callbacks += 1
         self._silent_bytes = 0
         self._header_text_bytes = 0
@@ -613,6 +658,8 @@
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the target."""
+        if self._repeats_head:
+            return
         self._silent_bytes = 0
         self._target += url
 
@@ -627,13 +674,18 @@
 
     def on_headers_complete(self) -> None:
         """Queue the request, whose body may still follow."""
+        if self._repeats_head:
+            return
         self._callbacks += 1
         self._unparsed_bytes = 0
         self._silent_bytes = 0
+        method = self._parser.get_method().decode("latin-1")
+        if method == TUNNEL_METHOD:
+            return
         self._room_limit_bytes = SMALL_BODY_BYTES
         request = ServerRequest(
             connection=self,
-            method=self._parser.get_method().decode("latin-1"),
+            method=method,
             target=self._target.decode("latin-1"),
             headers=tuple(self._headers),
             keeps_alive=self._parser.should_keep_alive(),
@@ -654,7 +706,9 @@
             self._receiving.add_body(body)
 
     def on_message_complete(self) -> None:
-        """Complete the body of the request."""
+        """Complete the body of the request, unless only its head was read."""
+        if self._parser.should_upgrade():
+            return
         self._unparsed_bytes = 0
         self._silent_bytes = 0
         self._in_message = False
--- a/tests/http_server_builders.py
+++ b/tests/http_server_builders.py
@@ -4,9 +4,11 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import Any
 
 from shallotroad.gateway.listener import open_listener
 from shallotroad.http_server.connection import ResponseStream
+from shallotroad.http_server.connection import ServerConnection
 from shallotroad.http_server.exceptions import BodyTooLargeError
 from shallotroad.http_server.message import Response
 from shallotroad.http_server.server import HttpServer
@@ -20,6 +22,7 @@
 SHORT_TIMEOUTS = Timeouts(head_s=0.3, idle_s=0.6)
 REQUEST_TIMEOUT_S = 5.0
 MAX_BODY_BYTES = 100_000
+READ_BYTES = 32_768
 
 
 class Service:
@@ -118,3 +121,66 @@
     """Return a request with a body."""
     head = f"POST {target} HTTP/1.1\r\nHost: h\r\nContent-Length: {len(body)}\r\n\r\n"
     return head.encode() + body
+
+
+class Transport(asyncio.Transport):
+    """A transport that records what is written and whether reading is paused."""
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        self.written = b""
+        self.paused = False
+        self.closing = False
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return self
+
+    def fileno(self) -> int:
+        return self._descriptor
+
+    def write(self, data: bytes | bytearray | memoryview[Any]) -> None:
+        self.written += data
+
+    def write_eof(self) -> None:
+        pass
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def is_closing(self) -> bool:
+        return self.closing
+
+    def pause_reading(self) -> None:
+        self.paused = True
+
+    def resume_reading(self) -> None:
+        self.paused = False
+
+    def abort(self) -> None:
+        self.closing = True
+
+    def close(self) -> None:
+        self.closing = True
+
+
+class Caller:
+    """A connection of a server whose handler reads the body and waits."""
+
+    def __init__(self, server: HttpServer, descriptor: int) -> None:
+        self.transport = Transport(descriptor)
+        self.connection = ServerConnection(server=server)
+        self.connection.connection_made(self.transport)
+
+    async def send(self, data: bytes) -> None:
+        """Let the connection read the data as far as it does not pause."""
+        for start in range(0, len(data), READ_BYTES):
+            for _ in range(1_000):
+                if not self.transport.paused or self.transport.closing:
+                    break
+                await asyncio.sleep(0)
+            if self.transport.paused or self.transport.closing:
+                return
+            self.connection.data_received(data[start : start + READ_BYTES])
+        for _ in range(5):
+            await asyncio.sleep(0)
--- a/tests/unit/http_server/test_callers_that_hold_memory.py
+++ b/tests/unit/http_server/test_callers_that_hold_memory.py
@@ -5,7 +5,6 @@
 import asyncio
 import os
 from typing import TYPE_CHECKING
-from typing import Any
 
 import pytest
 
@@ -14,7 +13,6 @@
 from shallotroad.http_server.connection import MAX_TURN_CALLBACKS
 from shallotroad.http_server.connection import MAX_WAITING_REQUESTS
 from shallotroad.http_server.connection import PARSED_BYTES
-from shallotroad.http_server.connection import ServerConnection
 from shallotroad.http_server.exceptions import BodyTooLargeError
 from shallotroad.http_server.exceptions import RequestShedError
 from shallotroad.http_server.memory_account import SMALL_BODY_BYTES
@@ -22,6 +20,8 @@
 from shallotroad.http_server.message import Response
 from shallotroad.http_server.server import HttpServer
 from shallotroad.http_server.server import RequestLimits
+from tests.http_server_builders import READ_BYTES
+from tests.http_server_builders import Caller
 
 
 if TYPE_CHECKING:
@@ -32,70 +32,6 @@
 
 LIMITS = RequestLimits(head_bytes=16_384, body_bytes=400_000)
 CHUNKED = b"POST /p HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
-READ_BYTES = 32_768
-
-
-class Transport(asyncio.Transport):
-    """A transport that records what is written and whether reading is paused."""
-
-    def __init__(self, descriptor: int) -> None:
-        super().__init__()
-        self._descriptor = descriptor
-        self.written = b""
-        self.paused = False
-        self.closing = False
-
-    def get_extra_info(self, name: str, default: Any = None) -> Any:
-        return self
-
-    def fileno(self) -> int:
-        return self._descriptor
-
-    def write(self, data: bytes | bytearray | memoryview[Any]) -> None:
-        self.written += data
-
-    def write_eof(self) -> None:
-        pass
-
-    def get_write_buffer_size(self) -> int:
-        return 0
-
-    def is_closing(self) -> bool:
-        return self.closing
-
-    def pause_reading(self) -> None:
-        self.paused = True
-
-    def resume_reading(self) -> None:
-        self.paused = False
-
-    def abort(self) -> None:
-        self.closing = True
-
-    def close(self) -> None:
-        self.closing = True
-
-
-class Caller:
-    """A connection of a server whose handler reads the body and waits."""
-
-    def __init__(self, server: HttpServer, descriptor: int) -> None:
-        self.transport = Transport(descriptor)
-        self.connection = ServerConnection(server=server)
-        self.connection.connection_made(self.transport)
-
-    async def send(self, data: bytes) -> None:
-        """Let the connection read the data as far as it does not pause."""
-        for start in range(0, len(data), READ_BYTES):
-            for _ in range(1_000):
-                if not self.transport.paused or self.transport.closing:
-                    break
-                await asyncio.sleep(0)
-            if self.transport.paused or self.transport.closing:
-                return
-            self.connection.data_received(data[start : start + READ_BYTES])
-        for _ in range(5):
-            await asyncio.sleep(0)
 
 
 class Service:
