Fail a connection whose endpoint switches protocols without an error in the log

A 101 that nobody asked for fails the request as malformed, but the parser's own error for it left data_received, so that the event loop logged a fatal error of the protocol with its trace.

test_a_switch_of_protocols_is_no_response: HttpParserUpgrade before, passes now. An offer in a response that is no 101 was read well before, too; it has a test now.

--- a/src/shallotroad/upstream/connection.py
+++ b/src/shallotroad/upstream/connection.py
@@ -110,7 +110,11 @@
         self._unparsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, ValueError) as error:
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+            ValueError,
+        ) as error:
             if self._complete:
                 self._reuse_unsafe = True
             else:
--- a/tests/unit/upstream/test_connection.py
+++ b/tests/unit/upstream/test_connection.py
@@ -176,3 +176,28 @@
     connection.data_received(b"\r\nContent-Length: 2\r\n\r\n")
     assert (await connection.head()).status == 200
     assert UNFINISHED_PARTS.held_bytes == 0
+
+
+# Guards against MIXED: an answer that offers another protocol passes without its body.
+async def test_an_offer_in_a_response_is_not_taken() -> None:
+    connection = make_connection()
+    await connection.send("q2", b"GET / HTTP/1.1\r\n\r\n", b"")
+    offer = b"Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+    connection.data_received(ANSWER.replace(b"\r\n\r\n", b"\r\n" + offer, 1))
+    await connection.head()
+    assert await connection.read() == b"answer to q2"
+    assert await connection.read() == b""
+    assert connection.finish(now_s=0.0)
+
+
+# Guards against MIXED: a switch of protocols that nobody asked for passes as an answer.
+async def test_a_switch_of_protocols_is_no_response() -> None:
+    connection = make_connection()
+    await connection.send("q2", b"GET / HTTP/1.1\r\n\r\n", b"")
+    switch = b"HTTP/1.1 101 Switching Protocols\r\n"
+    connection.data_received(
+        switch + b"Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n" + ANSWER
+    )
+    with pytest.raises(MalformedResponseError):
+        await connection.head()
+    assert not connection.usable
