Read fields without the white space around their values

Cause: the parser leaves white space behind a value, and the decoder took a length that is not all digits for one that is not stated. A response without a length ends with its connection.

Change: the decoders strip all fields in one place. A length that is no number, and a transfer encoding other than chunks, are malformed, as the parser and the decoder would disagree on the end of the body.

--- a/src/shallotroad/platform/headers.py
+++ b/src/shallotroad/platform/headers.py
@@ -54,6 +54,7 @@
 # The value is the number of output tokens that the caller expects.
 LENGTH_HINT = b"x-length-hint"
 AUTHORIZATION_SCHEME = "token"
+WHITE_SPACE = b" \t"
 DECIMAL = re.compile(rb"\d{1,15}(\.\d{0,15})?")
 
 # Apply to one connection only, or are generated anew for each attempt.
@@ -228,6 +229,38 @@
     forwarded: tuple[tuple[bytes, bytes], ...]
 
 
+def _decode_fields(
+    raw: Iterable[tuple[bytes, bytes]],
+) -> list[tuple[bytes, bytes]]:
+    """Return header fields without the white space around their values.
+
+    It is no part of a value (RFC 9110, section 5.5), and the parser leaves what stands
+    behind it.
+    """
+    return [(name, value.strip(WHITE_SPACE)) for name, value in raw]
+
+
+def _decode_length(text: bytes | None) -> int | None:
+    if text is None:
+        return None
+    if not text.isdigit():
+        raise ValueError(f"Content-Length {text[:40]!r}")
+    return int(text)
+
+
+def _decode_chunked(text: bytes | None) -> bool:
+    """Return whether a body is chunked.
+
+    ``text`` is the value as it was received: the parser does not take one with a tab
+    behind it, or with another coding, for chunked.
+    """
+    if text is None:
+        return False
+    if text.rstrip(b" ").lower() != b"chunked":
+        raise ValueError(f"Transfer-Encoding {text[:40]!r}")
+    return True
+
+
 def _count_or_zero(text: bytes | None) -> int:
     return int(text) if text is not None and text.isdigit() else 0
 
@@ -279,7 +312,7 @@
 
     Values that are malformed count as not stated.
     """
-    pairs = list(raw)
+    pairs = _decode_fields(raw)
     headers = {name.lower(): value for name, value in pairs}
     not_forwarded = HOP_BY_HOP | STRIPPED_CALLER_HEADERS | _connection_options(headers)
     usage = headers.get(TOKEN_USAGE, b"").split(b",")
@@ -352,12 +385,18 @@
 def decode_response(status: int, raw: Iterable[tuple[bytes, bytes]]) -> ResponseHead:
     """Decode the head of an endpoint's response.
 
-    A malformed ``Content-Length``, idle timeout, limit or time to retry counts as not
-    stated.
+    A malformed idle timeout, limit or time to retry counts as not stated.
+
+    Raises
+    ------
+    ValueError
+        When the end of the body can't be told: the length is no number, or the body is
+        sent in another transfer encoding than in chunks.
     """
-    pairs = list(raw)
+    received = list(raw)
+    pairs = _decode_fields(received)
     headers = {name.lower(): value for name, value in pairs}
-    length = headers.get(b"content-length")
+    encodings = [v for n, v in received if n.lower() == b"transfer-encoding"]
     connection_options = _connection_options(headers)
     idle_timeout_s = None
     for option in headers.get(b"keep-alive", b"").split(b","):
@@ -372,8 +411,8 @@
         not_run=NOT_RUN in headers or status == 421,
         reads_as_not_run=status in NOT_RUN_STATUSES,
         other_endpoint=status == 421,
-        length=int(length) if length is not None and length.isdigit() else None,
-        chunked=b"chunked" in headers.get(b"transfer-encoding", b"").lower(),
+        length=_decode_length(headers.get(b"content-length")),
+        chunked=_decode_chunked(b", ".join(encodings) if encodings else None),
         idle_timeout_s=idle_timeout_s,
         closes=b"close" in connection_options,
         encoded=b"content-encoding" in headers,
--- a/tests/processes/test_early_responses.py
+++ b/tests/processes/test_early_responses.py
@@ -66,6 +66,23 @@
     assert response.body != b"body"
 
 
+# Guards against MIXED: with a space after the length, a part counts as the whole.
+@pytest.mark.parametrize("space", ["", " ", "\t", " \t "], ids=repr)
+async def test_a_part_of_an_answer_with_a_length_is_not_complete(
+    harness: GatewayHarness, space: str
+) -> None:
+    length = f"\r\nContent-Length: {len(PART) + 8}{space}\r\n\r\n".encode()
+    answer = HEAD.replace(b"\r\n\r\n", length) + PART
+    endpoint = EarlyEndpoint(answer=answer, end="close")
+    await endpoint.start()
+    harness.store.put(f"servers/{NAME}", endpoint.registration("shop"))
+    await harness.start()
+    response = await harness.send_request("/book/1", "q1", body=b"slot")
+    endpoint.close()
+    assert response.status == 502
+    assert PART not in response.body
+
+
 # Guards against MIXED: interim answers without end hold a request to its time limit.
 async def test_interim_answers_without_end_are_no_answer(
     harness: GatewayHarness,
