Hand over who began the streams of a gateway that stops

Cause: the version of a stream was told to three gateways once, when it began. They were restarted while the first one let its streams run; nobody knew them when it ended.

Change: at the end of its grace period, or when it has nothing left to serve, a gateway tells the present holders of the streams of the last 30 s, newest first, for up to 0.25 s. The message is the known one, so gateways of the version before take it.

In the simulation, all of 100 streams are known after 3, 30 and 100 gateways were restarted in turn. Real processes in turn beyond three, and the cost in KB/s, were not measured.

--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -37,6 +37,7 @@
 from shallotroad.gateway.store_relay import StoreFollower
 from shallotroad.gateway.store_relay import StoreRelay
 from shallotroad.gateway.store_watcher import StoreWatcher
+from shallotroad.gateway.stream_origins import MAX_HAND_OVER_S
 from shallotroad.gateway.stream_origins import StreamOrigins
 from shallotroad.http_server.allocator import return_large_blocks
 from shallotroad.http_server.memory_account import MemoryAccount
@@ -434,7 +435,8 @@
     New connections are accepted for ``BALANCER_LINGER_S``; then requests are refused
     and idle connections closed. Requests that must run once and may not end within the
     period are refused at once. What is unfinished at the end of the period gets a
-    last response: refused if it has not run, else unknown.
+    last response: refused if it has not run, else unknown. What is known of streams
+    is handed over before their callers can notice the end.
     """
     frontend = components.frontend
     started_s = time.monotonic()
@@ -443,13 +445,18 @@
     frontend.cut_off_s = deadline_s
     components.membership.leave()
     log_event("stopping", open_requests=server.open_requests)
+    handed_over = False
     while time.monotonic() < deadline_s:
         linger_elapsed = time.monotonic() - started_s > BALANCER_LINGER_S
         if linger_elapsed and not frontend.refusing:
             frontend.refusing = True
             server.close_idle_connections()
         if linger_elapsed and server.open_requests == 0:
+            await components.stream_origins.hand_over()
             return
+        if not handed_over and time.monotonic() >= deadline_s - MAX_HAND_OVER_S:
+            handed_over = True
+            await components.stream_origins.hand_over()
         await asyncio.sleep(0.05)
     log_event("grace period ended", open_requests=server.open_requests)
     server.interrupt_requests("the grace period ended")
--- a/src/shallotroad/gateway/stream_origins.py
+++ b/src/shallotroad/gateway/stream_origins.py
@@ -3,7 +3,8 @@
 Versions of an endpoint's software write streams that don't fit together, and the
 caller that resumes a stream often reaches another gateway than the one that it began
 at, which may be gone. So that gateway tells a few others, which the identifier of the
-request selects, and the one that is asked to resume the stream asks them.
+request selects, and the one that is asked to resume the stream asks them. A gateway
+that ends tells those that the identifier selects by then.
 """
 
 from __future__ import annotations
@@ -51,6 +52,11 @@
 MAX_STREAMS = 20_000
 KEY_BYTES = 12
 RING_MAX_AGE_S = 0.5
+# The newest streams are handed over in batches that the buffers of sockets take, in a
+# part of the time that a process keeps for its exit.
+HAND_OVER_BATCH = 30
+HAND_OVER_PAUSE_S = 0.005
+MAX_HAND_OVER_S = 0.25
 # The source of an origin that another gateway may know.
 STORE_NOT_CONFIRMED = "store not confirmed"
 
@@ -204,6 +210,30 @@
         for name in self._holders(key):
             self._send(name, message)
 
+    async def hand_over(self) -> None:
+        """Tell the present holders of the streams that may be resumed.
+
+        A gateway does so before it ends: the holders that were told when a stream began
+        may have been restarted since.
+        """
+        oldest_s = self._clock() - VERSIONS_KNOWN_AFTER_S
+        streams = [
+            (key, origin.software_version)
+            for key, origin in reversed(self._origins.items())
+            if origin.recorded_s > oldest_s
+        ]
+        ends_s = self._clock() + MAX_HAND_OVER_S
+        told = 0
+        for key, version in streams:
+            for name in self._holders(key):
+                self._send(name, StreamBegan(key, version))
+            told += 1
+            if told % HAND_OVER_BATCH == 0:
+                await asyncio.sleep(HAND_OVER_PAUSE_S)
+                if self._clock() > ends_s:
+                    break
+        log_event("streams handed over", streams=len(streams), told=told)
+
     def _remember(self, key: str, version: str) -> None:
         now_s = self._clock()
         self._origins.pop(key, None)
--- a/tests/processes/test_software_versions.py
+++ b/tests/processes/test_software_versions.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from typing import TYPE_CHECKING
 
 import pytest
@@ -37,6 +38,11 @@
     for name in GATEWAYS:
         seeds = [ports["control"] for ports in harness.ports.values()]
         await harness.start(name, seeds)
+    await wait_for_members(harness)
+
+
+async def wait_for_members(harness: GatewayHarness) -> None:
+    """Wait until all gateways know one another."""
     async with asyncio.timeout(10.0):
         for name in GATEWAYS:
             while len((await harness.dump(name))["live_entries"]) < len(GATEWAYS):
@@ -125,6 +131,35 @@
     assert resumed_at(harness) == {"v1": REQUESTS, "v2": 0}
 
 
+# Guards against LOST: after restarts in turn no gateway knows who began a stream.
+async def test_a_gateway_that_stops_hands_over_who_began_its_streams(
+    harness: GatewayHarness,
+) -> None:
+    await harness.add_endpoint("m1", "model", "cut", software_version="v1")
+    await start_gateways(harness)
+    begun = await asyncio.gather(
+        *(harness.send_request("/notes/1", f"q{n}") for n in range(REQUESTS))
+    )
+    assert not any(response.complete for response in begun)
+    await harness.add_endpoint("m2", "model", "stream", software_version="v2")
+    await harness.add_endpoint("m3", "model", "stream", software_version="v1")
+    harness.store.put("servers/m1", None)
+    for name in GATEWAYS[1:]:
+        harness.processes[name].kill()
+        await harness.processes[name].wait()
+        seeds = [ports["control"] for ports in harness.ports.values()]
+        await harness.start(name, seeds)
+    await wait_for_members(harness)
+    harness.send_signal("g1", signal.SIGTERM)
+    await harness.processes["g1"].wait()
+    statuses = [
+        await resume(harness, GATEWAYS[1 + n % 2], f"r{n}", f"q{n}")
+        for n in range(REQUESTS)
+    ]
+    assert statuses == [200] * REQUESTS
+    assert resumed_at(harness) == {"v1": REQUESTS, "v2": 0}
+
+
 # Guards against ORDER: nobody knows the version, or another team asks for it.
 @pytest.mark.parametrize(
     ("resumes", "key"),
--- a/tests/unit/gateway/test_grace_period.py
+++ b/tests/unit/gateway/test_grace_period.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from types import SimpleNamespace
+from unittest.mock import AsyncMock
 from unittest.mock import MagicMock
 
 import pytest
@@ -35,9 +36,9 @@
     settings = make_settings()
     server = MagicMock(open_requests=1)
     began_s = loop.time()
-    await factory._drain(
-        MagicMock(settings=settings), server, clock.monotonic() - starting_s
-    )
+    components = MagicMock(settings=settings, stream_origins=AsyncMock())
+    await factory._drain(components, server, clock.monotonic() - starting_s)
+    components.stream_origins.hand_over.assert_awaited_once()
     server.interrupt_requests.assert_called_once()
     drained_s = starting_s + loop.time() - began_s
     expected_s = settings.bounds.grace_s - factory.EXIT_RESERVE_S
--- a/tests/unit/gateway/test_stream_origins.py
+++ b/tests/unit/gateway/test_stream_origins.py
@@ -20,6 +20,8 @@
 from shallotroad.gateway.coordination.messages import decode
 from shallotroad.gateway.coordination.messages import encode
 from shallotroad.gateway.endpoint_registry import EndpointRegistry
+from shallotroad.gateway.stream_origins import HAND_OVER_BATCH
+from shallotroad.gateway.stream_origins import MAX_HAND_OVER_S
 from shallotroad.gateway.stream_origins import MAX_STREAMS
 from shallotroad.gateway.stream_origins import REPLY_TIMEOUT_S
 from shallotroad.gateway.stream_origins import STORE_NOT_CONFIRMED
@@ -27,6 +29,7 @@
 from shallotroad.gateway.stream_origins import VERSIONS_KNOWN_AFTER_S
 from shallotroad.gateway.stream_origins import RecalledOrigin
 from shallotroad.gateway.stream_origins import StreamOrigins
+from shallotroad.gateway.stream_origins import stream_key
 from tests.budget_builders import make_membership
 from tests.budget_builders import make_memberships
 from tests.gateway_builders import Clock
@@ -135,6 +138,62 @@
     assert known.count("v1") > 50
 
 
+# Guards against LOST: all holders of a stream are restarted one after the other.
+async def test_a_gateway_that_ends_hands_over_what_it_knows() -> None:
+    gateways = Gateways(6)
+    gateways.put("v1", "v2")
+    for number in range(100):
+        gateways.origins["g0"].record(make_stream_job(f"q{number}"))
+    for membership in make_memberships(6)[1:]:
+        gateways.add(membership)
+    await gateways.origins["g0"].hand_over()
+    gateways.lost.add("g0")
+    for number in range(100):
+        job = make_stream_job("r1", resumes=f"q{number}")
+        assert await recall_version(gateways.origins["g4"], job) == "v1"
+
+
+# Guards against LOST: the knowledge wears off while more and more gateways restart.
+@pytest.mark.parametrize("count", [3, 30, 100])
+async def test_streams_are_known_after_all_gateways_were_restarted_in_turn(
+    count: int,
+) -> None:
+    gateways = Gateways(count)
+    gateways.put("v1", "v2")
+    for number in range(100):
+        gateways.origins[f"g{number % count}"].record(make_stream_job(f"q{number}"))
+    for membership in make_memberships(count):
+        await gateways.origins[membership.name].hand_over()
+        gateways.add(membership)
+    for number in range(100):
+        job = make_stream_job("r1", resumes=f"q{number}")
+        assert await recall_version(gateways.origins["g0"], job) == "v1"
+
+
+async def test_streams_that_have_ended_are_not_handed_over() -> None:
+    gateways = Gateways(6)
+    gateways.origins["g0"].record(make_stream_job("q1"))
+    gateways.clock.now_s += VERSIONS_KNOWN_AFTER_S
+    gateways.sent.clear()
+    await gateways.origins["g0"].hand_over()
+    assert gateways.sent == []
+
+
+async def test_the_newest_streams_are_handed_over_in_the_time_there_is() -> None:
+    gateways = Gateways(6)
+    origins = gateways.origins["g0"]
+    for number in range(10 * HAND_OVER_BATCH):
+        origins.record(make_stream_job(f"q{number}"))
+    gateways.sent.clear()
+    task = asyncio.create_task(origins.hand_over())
+    await asyncio.sleep(0)
+    gateways.clock.now_s += MAX_HAND_OVER_S + 0.01
+    await task
+    newest = stream_key(make_stream_job(f"q{10 * HAND_OVER_BATCH - 1}"))
+    assert gateways.sent[0] == StreamBegan(newest, "v1")
+    assert len(gateways.sent) == 3 * HAND_OVER_BATCH
+
+
 async def test_another_team_learns_nothing() -> None:
     gateways = Gateways(3)
     gateways.put("v1", "v2")
