Write the log of a gateway in a thread

Cause: the event loop wrote the lines itself, and the write of a full pipe waits for its reader.

Change: a thread writes, and gets the next lines when it is done with the last ones; what the bounded buffer can't take meanwhile is dropped and counted as before. The last flush is bounded by 0.2 s.

The entry and the agent still write from their event loops.

--- a/src/shallotroad/gateway/main.py
+++ b/src/shallotroad/gateway/main.py
@@ -93,12 +93,11 @@
     import uvloop
 
     from shallotroad.observability.event_log import LOG_BUFFER
-    from shallotroad.observability.event_log import MAX_BUFFERED_LINES
 
     try:
         uvloop.run(_run(settings, caller_listener))
     finally:
-        LOG_BUFFER.flush(MAX_BUFFERED_LINES)
+        LOG_BUFFER.flush_at_exit()
     os._exit(0)
 
 
--- a/src/shallotroad/observability/event_log.py
+++ b/src/shallotroad/observability/event_log.py
@@ -1,15 +1,15 @@
 """Structured event log of the gateway: JSON lines on standard output.
 
-Lines are collected in a bounded buffer and written periodically by the event loop, so
-that logging does not delay requests. When the reader of standard output falls behind or
-lines come too fast, lines are dropped and counted; the next write reports how many.
+Lines are collected in a bounded buffer and handed periodically to a thread that writes
+them, so that logging does not delay requests. When the reader of standard output falls
+behind or lines come too fast, lines are dropped and counted; the next write reports how
+many.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
-import os
 import time
 from collections import deque
 from typing import TYPE_CHECKING
@@ -17,6 +17,8 @@
 import orjson
 from loguru import logger
 
+from shallotroad.observability.background_writer import BackgroundWriter
+
 
 if TYPE_CHECKING:
     from loguru import Message
@@ -25,6 +27,8 @@
 FLUSH_INTERVAL_S = 0.2
 MAX_BUFFERED_LINES = 4_000  # About 1 MB of memory.
 MAX_LINES_PER_FLUSH = 400  # Allows 2,000 lines per second.
+# Within the part of the grace period that is kept for the exit.
+EXIT_FLUSH_S = 0.2
 
 
 class LineBuffer:
@@ -38,8 +42,10 @@
         Lines dropped since the start of the process.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, writer: BackgroundWriter) -> None:
+        self._writer = writer
         self._lines: deque[bytes] = deque()
+        self._written_lines = 0
         self.dropped = 0
         self.dropped_total = 0
 
@@ -52,25 +58,32 @@
         self._lines.append(line)
 
     def flush(self, max_lines: int = MAX_LINES_PER_FLUSH) -> None:
-        """Write up to ``max_lines`` lines.
+        """Begin to write up to ``max_lines`` lines, unless others are being written.
 
-        When the write fails, the lines are dropped and counted.
+        When a write fails, its lines count as dropped.
         """
-        count = min(max_lines, len(self._lines))
+        if not self._writer.idle:
+            return
+        if self._writer.failed:
+            self.dropped += self._written_lines
+            self.dropped_total += self._written_lines
+        count = self._written_lines = min(max_lines, len(self._lines))
         if count == 0:
             return
         lines = [self._lines.popleft() for _ in range(count)]
         if self.dropped:
             lines.append(orjson.dumps({"event": "lines dropped", "n": self.dropped}))
             self.dropped = 0
-        try:
-            os.write(STDOUT_FD, b"\n".join(lines) + b"\n")
-        except OSError:
-            self.dropped += count
-            self.dropped_total += count
+        self._writer.write(b"\n".join(lines) + b"\n")
+
+    def flush_at_exit(self) -> None:
+        """Write all lines, as far as that ends within ``EXIT_FLUSH_S``."""
+        ends_s = time.monotonic() + EXIT_FLUSH_S
+        while self._writer.wait_until_idle(ends_s - time.monotonic()) and self._lines:
+            self.flush(MAX_BUFFERED_LINES)
 
 
-LOG_BUFFER = LineBuffer()
+LOG_BUFFER = LineBuffer(writer=BackgroundWriter(descriptor=STDOUT_FD))
 
 
 def _buffer_record(message: Message) -> None:
@@ -114,10 +127,7 @@
 
 
 async def flush_periodically() -> None:
-    """Write the buffered lines periodically until cancelled, then all that remain."""
-    try:
-        while True:
-            await asyncio.sleep(FLUSH_INTERVAL_S)
-            LOG_BUFFER.flush()
-    finally:
-        LOG_BUFFER.flush(MAX_BUFFERED_LINES)
+    """Write the buffered lines periodically until cancelled."""
+    while True:
+        await asyncio.sleep(FLUSH_INTERVAL_S)
+        LOG_BUFFER.flush()
