Attribute a dump in the soak to the process that sent it

Trace: g2 had version 115 and stopped at 947.707; the next process of that name started at 947.792 and adopted 115 at 948.027, no older one. The dump was asked for by name while the old process was in the list, answered by the new one before it had a configuration, and counted for the old one's pid. A fault of the soak's check.

A dump counts only if the process that was in the list still is. Each process is judged as before.

--- a/devtools/soak.py
+++ b/devtools/soak.py
@@ -138,6 +138,8 @@
                     version = (await run.harness.dump(name))["version"] or 0
             except (aiohttp.ClientError, TimeoutError, ValueError):
                 continue
+            if run.harness.processes[name] is not process:
+                continue  # It has ended, and the next process of its name replied.
             key = (name, process.pid)
             if version < highest_versions.get(key, 0):
                 detail = f"{name} went from {highest_versions[key]} to {version}"
