--- a/tests/unit/gateway/test_missed_registrations.py
+++ b/tests/unit/gateway/test_missed_registrations.py
@@ -63,8 +63,7 @@
         request=make_request(request_id="r1", resumes="q1", last_event_id="2"),
         team=Team("clinic", frozenset(), None, frozenset()),
     )
-    service = job.service._replace(name=registration(1)["service"])
-    job.service = service
+    job.service = job.service._replace(name=registration(1)["service"])
     return await origins.recall(job)
 
 
--- a/tests/unit/gateway/test_stream_origins.py
+++ b/tests/unit/gateway/test_stream_origins.py
@@ -294,9 +294,7 @@
 
 
 # Guards against LOST: a gateway asks only those that it knows right after its start.
-async def test_a_gateway_that_has_just_started_asks_others_as_it_learns_of_them() -> (
-    None
-):
+async def test_a_new_gateway_asks_others_as_it_learns_of_them() -> None:
     gateways = Gateways(5)
     gateways.put("v1", "v2")
     gateways.origins["g0"].record(make_stream_job("q1"))
