Log that an endpoint is kept without a registration, and how old beliefs are

The log could not tell whether a gateway that sends to an endpoint that has left keeps it on purpose or does not know. A line now says that an endpoint is kept without a registration and for how long, another how that ended, and each attempt in 'request finished' has the time since the store was last heard from (store_age_s) and whether its endpoint is unregistered. The metrics count both ends (shallotroad_missing_endpoints_total) and the endpoints that are kept now. No decision is changed.

--- a/src/shallotroad/catalog/catalog.py
+++ b/src/shallotroad/catalog/catalog.py
@@ -51,6 +51,9 @@
         Configuration in force; None until one is adopted.
     endpoints : dict of str to EndpointRecord
         Latest record of each endpoint by identifier, including the missing ones.
+    missing_ends : dict of str to int
+        Number of endpoints that were missing, by how that ended: "registered" (again)
+        or "evicted".
     """
 
     def __init__(
@@ -66,6 +69,7 @@
             set() if closed_data_centres is None else closed_data_centres
         )
         self._missing: dict[str, MissingEndpoint] = {}
+        self.missing_ends = {"registered": 0, "evicted": 0}
         self._on_endpoint_updated = on_endpoint_updated
         self._on_endpoint_removed = on_endpoint_removed
 
@@ -105,13 +109,23 @@
         current = self.endpoints.get(record.identifier)
         if current is not None and record.started_at_ms < current.started_at_ms:
             return False
-        self._missing.pop(record.identifier, None)
+        if self._missing.pop(record.identifier, None) is not None:
+            self.missing_ends["registered"] += 1
         self.endpoints[record.identifier] = record
         self._on_endpoint_updated(record)
         return current is None or current._replace(
             cold_remaining_ms=0
         ) != record._replace(cold_remaining_ms=0)
 
+    def is_missing(self, identifier: str) -> bool:
+        """Return whether an endpoint is kept though its registration is missing."""
+        return identifier in self._missing
+
+    @property
+    def missing_count(self) -> int:
+        """Number of the missing endpoints."""
+        return len(self._missing)
+
     def remove_endpoint(
         self, identifier: str, *, expires_at_s: float, now_s: float
     ) -> None:
@@ -156,6 +170,7 @@
         expired = [i for i, v in self._missing.items() if v.expires_at_s <= now_s]
         for identifier in expired:
             self._remove(identifier)
+        self.missing_ends["evicted"] += len(expired)
         return expired
 
     def _remove(self, identifier: str) -> None:
--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -268,6 +268,7 @@
         clock=clock,
         make_splitter=EventStreamSplitter,
         stream_origins=stream_origins,
+        registration_inputs=store_watcher.registration_inputs,
         restarted=not settings.first_start,
     )
     frontend = HttpFrontend(
--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -155,6 +155,8 @@
         Gives the number of gateways that share the slack of the retry budgets.
     stream_origins : StreamOrigins
         Knows which software version began a stream that a caller resumes.
+    registration_inputs : callable
+        Returns log fields on what is known of the registration of an endpoint.
     restarted : bool
         Whether another process of this instance may have made retries just before.
     bounds : Bounds
@@ -179,6 +181,7 @@
         clock: Callable[[], float],
         make_splitter: Callable[[], EventStreamSplitter],
         stream_origins: StreamOrigins,
+        registration_inputs: Callable[[str], dict[str, object]] = lambda _: {},
         restarted: bool = False,
     ) -> None:
         self._restarted_s = clock() if restarted else -math.inf
@@ -192,6 +195,7 @@
         self._clock = clock
         self._make_splitter = make_splitter
         self._stream_origins = stream_origins
+        self._registration_inputs = registration_inputs
         self._retry_budgets: dict[str, WindowedRetryBudget] = {}
 
     def _retry_budget(self, service: str) -> WindowedRetryBudget:
@@ -447,7 +451,9 @@
         load = placement.load
         identifier = load.record.identifier
         job.attempts.append(identifier)
-        job.placement_inputs.append(placement.inputs())
+        job.placement_inputs.append(
+            placement.inputs() | self._registration_inputs(identifier)
+        )
         pool = self._endpoint_registry.pool(identifier)
         progress = AttemptProgress(
             placement=placement,
--- a/src/shallotroad/gateway/metrics.py
+++ b/src/shallotroad/gateway/metrics.py
@@ -72,6 +72,9 @@
         Decisions of this gateway's queue on insufficient capacity, by ``decision``:
         "refused at submit", "refused in the queue", "returned early" (a caller that was
         told to wait), "place reserved", "place used" or "place expired".
+    missing_endpoints : Counter
+        Endpoints that were kept for a while though their registration was missing, by
+        ``end``: "registered" (again) or "evicted".
     first_event_s : Histogram
         Time from the arrival of a request to the head of its stream, by ``kind``.
     request_s : Histogram
@@ -152,6 +155,11 @@
             "Refusals by the queue and places of callers that return",
             registry=self.registry,
         )
+        self.missing_endpoints = Counter(
+            "shallotroad_missing_endpoints_total",
+            "Endpoints kept without a registration, by how that ended",
+            registry=self.registry,
+        )
         self.first_event_s = Histogram(
             "shallotroad_first_event_seconds",
             "Time to the first event of streams",
@@ -205,6 +213,7 @@
             ),
             "store_calls": components.store.request_count,
             "endpoints": len(components.catalog.endpoints),
+            "endpoints_unregistered": components.catalog.missing_count,
             "streams_known": components.stream_origins.known_streams,
             "waiting": components.admission.queue_length,
             "return_places": components.admission.return_places,
@@ -231,6 +240,8 @@
         )
         for decision, count in components.admission.decisions.items():
             components.metrics.capacity_decisions.set({"decision": decision}, count)
+        for end, count in components.catalog.missing_ends.items():
+            components.metrics.missing_endpoints.set({"end": end}, count)
 
     return update_gauges
 
--- a/src/shallotroad/gateway/store_watcher.py
+++ b/src/shallotroad/gateway/store_watcher.py
@@ -185,6 +185,19 @@
         """Return for how long endpoints without a registration are still kept."""
         return max(0.0, self._removal_time_s() - self._clock())
 
+    def registration_inputs(self, identifier: str) -> dict[str, object]:
+        """Return log fields on what is known of the registration of an endpoint.
+
+        These are ``store_age_s``, the time since the store was last heard from, and
+        ``unregistered`` if the endpoint is kept though its registration is missing.
+        """
+        inputs: dict[str, object] = {
+            "store_age_s": round(self._clock() - self.last_contact_s, 2)
+        }
+        if self._catalog.is_missing(identifier):
+            inputs["unregistered"] = True
+        return inputs
+
     def apply_relayed(self, batch: RelayedBatch, *, in_touch: bool) -> None:
         """Apply the news that another gateway has of the store.
 
@@ -396,10 +409,19 @@
         draining. A malformed registration removes it at once.
         """
         now_s = self._clock()
+        was_missing = self._catalog.is_missing(key.identifier)
         if document.value is None:
             self._catalog.remove_endpoint(
                 key.identifier, expires_at_s=self._removal_time_s(), now_s=now_s
             )
+            if self._catalog.is_missing(key.identifier) and not was_missing:
+                log_event(
+                    "endpoint kept without registration",
+                    endpoint=key.identifier,
+                    revision=document.revision,
+                    for_s=round(self.removal_delay_s(), 3),
+                    contact_age_s=round(now_s - self.last_contact_s, 3),
+                )
             return
         try:
             record = decode_endpoint(key.identifier, document.value)
@@ -412,6 +434,12 @@
             )
             return
         self._catalog.put_endpoint(record)
+        if was_missing and not self._catalog.is_missing(key.identifier):
+            log_event(
+                "endpoint registered again",
+                endpoint=key.identifier,
+                revision=document.revision,
+            )
 
     def _apply_page(self, documents: list[Document]) -> None:
         """Apply the documents of one page of a list, before the others are read.
@@ -602,7 +630,8 @@
         while True:
             await asyncio.sleep(BATCH_DELAY_S)
             if self.connected:
-                self._catalog.evict_missing(self._clock())
+                for identifier in self._catalog.evict_missing(self._clock()):
+                    log_event("endpoint did not register again", endpoint=identifier)
 
     def _record_contact(self, contact_s: float) -> None:
         self.last_contact_s = contact_s
