Reproduce the endpoint that is used after a gateway's own cut (failing)

Two of six gateways on one store are cut off from it for 4 s, and the registration of an endpoint is removed 0.3 or 1.0 s after the cut.

--- a/tests/store_builders.py
+++ b/tests/store_builders.py
@@ -24,6 +24,7 @@
 from shallotroad.platform.exceptions import RevisionCompactedError
 from shallotroad.platform.exceptions import StoreUnavailableError
 from shallotroad.platform.settings import Address
+from shallotroad.platform.store import CONNECT_TIMEOUT_S
 from shallotroad.platform.store import PAGE_TRANSFER_TIMEOUT_S
 from shallotroad.platform.store import RESPONSE_TIMEOUT_S
 from shallotroad.platform.store import DocumentBatch
@@ -63,9 +64,10 @@
 class MemoryStore:
     """Documents with revisions, and who can't reach them.
 
-    A gateway in ``silenced`` sends calls that get no response; one in ``refused``
-    gets an error at once. The watches of one in ``stuck`` never end, not even by a
-    timeout. Each gateway receives ``link_bytes_per_s`` from the store.
+    A gateway in ``silenced`` sends calls that get no response; one in ``unreachable``
+    opens no connection; one in ``refused`` gets an error at once. The watches of one
+    in ``stuck`` never end, not even by a timeout. Each gateway receives
+    ``link_bytes_per_s`` from the store.
     """
 
     def __init__(self) -> None:
@@ -75,6 +77,7 @@
         self.compacted_revision = 0
         self.calls: dict[str, int] = {}
         self.silenced: set[str] = set()
+        self.unreachable: set[str] = set()
         self.refused: set[str] = set()
         self.stuck: set[str] = set()
         self._changed = asyncio.Event()
@@ -128,6 +131,9 @@
         await asyncio.sleep(HOP_S)
         if self._name in self._store.refused:
             raise StoreUnavailableError("refused")
+        if self._name in self._store.unreachable:
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            raise StoreUnavailableError("no connection")
         if self._name in self._store.silenced:
             await asyncio.sleep(timeout_s)
             raise StoreUnavailableError("no response")
@@ -159,9 +165,11 @@
             await self._store.wait_for_change(wait_ms / 1000)
         if self._store.era != era:
             raise StoreUnavailableError("the store was restored")
-        if self._name in self._store.silenced:
-            await asyncio.sleep(timeout_s)
+        if self._name in self._store.silenced | self._store.unreachable:
+            await asyncio.sleep(ends_s - asyncio.get_running_loop().time())
             raise StoreUnavailableError("no response")
+        if self._name in self._store.refused:
+            raise StoreUnavailableError("connection reset")
         revision, changes = self._store.revision, self._store.changes[after:]
         transfer_s = self._store.transfer_s(changes)
         remaining_s = ends_s - asyncio.get_running_loop().time()
@@ -214,11 +222,17 @@
         restarted = f"{name}-restarted"
         self._add(restarted, self._propagation_s, restarted=True)
         self.gossip()
-        gateway = self.gateways[restarted]
-        for run in (gateway.watcher.run, gateway.follower.follow_periodically):
-            self._tasks.append(asyncio.create_task(run()))
+        self._start_gateway(self.gateways[restarted])
         return restarted
 
+    def _start_gateway(self, gateway: StoreGateway) -> None:
+        for run in (
+            gateway.watcher.run,
+            gateway.watcher.evict_missing_periodically,
+            gateway.follower.follow_periodically,
+        ):
+            self._tasks.append(asyncio.create_task(run()))
+
     def _add(self, name: str, propagation_s: float, *, restarted: bool = False) -> None:
         clock = asyncio.get_running_loop().time
         registry = EndpointRegistry(clock=clock, regions={}, closed=set())
@@ -273,8 +287,7 @@
 
     def start(self) -> None:
         for gateway in self.gateways.values():
-            for run in (gateway.watcher.run, gateway.follower.follow_periodically):
-                self._tasks.append(asyncio.create_task(run()))
+            self._start_gateway(gateway)
         self._tasks.append(asyncio.create_task(self._gossip_periodically()))
         if self._exchanges:
             for gateway in self.gateways.values():
