Remove unregistered endpoints only on news of the store

Callers were refused: an endpoint whose registration had lapsed in an outage was dropped while the store was away a second time, or as soon as it was back from that, though the endpoint never had its two seconds to register again.

Cause: each missing endpoint had a fixed time of eviction, and a timer checked it while the gateway still took itself to be connected, which it does for up to 2.2 s after the store has gone.

Now the time counts from the return after the latest outage, and endpoints are removed on news of the store from the end of that time; a watch ends then. The timer is gone.

test_an_endpoint_that_lapsed_before_two_outages_serves failed in all of nine variants before, and holds now.

--- a/src/shallotroad/catalog/catalog.py
+++ b/src/shallotroad/catalog/catalog.py
@@ -8,27 +8,18 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import NamedTuple
 
 from shallotroad.catalog.configuration import default_service
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterable
 
     from shallotroad.catalog.configuration import Configuration
     from shallotroad.catalog.configuration import Service
     from shallotroad.catalog.endpoint import EndpointRecord
 
 
-class MissingEndpoint(NamedTuple):
-    """An endpoint whose registration is missing, and when it is evicted."""
-
-    record: EndpointRecord
-    expires_at_s: float
-
-
 class Catalog:
     """The configuration in force, the endpoints and the closed data centres.
 
@@ -68,7 +59,7 @@
         self.closed_data_centres: set[str] = (
             set() if closed_data_centres is None else closed_data_centres
         )
-        self._missing: dict[str, MissingEndpoint] = {}
+        self._missing: set[str] = set()
         self.missing_ends = {"registered": 0, "evicted": 0}
         self._on_endpoint_updated = on_endpoint_updated
         self._on_endpoint_removed = on_endpoint_removed
@@ -109,7 +100,8 @@
         current = self.endpoints.get(record.identifier)
         if current is not None and record.started_at_ms < current.started_at_ms:
             return False
-        if self._missing.pop(record.identifier, None) is not None:
+        if record.identifier in self._missing:
+            self._missing.discard(record.identifier)
             self.missing_ends["registered"] += 1
         self.endpoints[record.identifier] = record
         self._on_endpoint_updated(record)
@@ -126,9 +118,7 @@
         """Number of the missing endpoints."""
         return len(self._missing)
 
-    def remove_endpoint(
-        self, identifier: str, *, expires_at_s: float, now_s: float
-    ) -> None:
+    def remove_endpoint(self, identifier: str, *, may_return: bool) -> None:
         """Remove an endpoint that is no longer registered, or mark it as missing.
 
         A missing endpoint stays in use until it registers again or is evicted, because
@@ -139,41 +129,27 @@
         ----------
         identifier : str
             Identifier of the endpoint; one that is not known is ignored.
-        expires_at_s : float
-            Monotonic time at which a missing endpoint is evicted. When it has passed,
-            the endpoint is removed at once. An endpoint that is already missing keeps
-            its earlier time.
-        now_s : float
-            Current monotonic time.
+        may_return : bool
+            Whether its registration may have lapsed in an outage of the store after
+            which it has not had the time to register again.
         """
         record = self.endpoints.get(identifier)
         if record is None:
             return
-        if expires_at_s <= now_s or record.draining:
+        if may_return and not record.draining:
+            self._missing.add(identifier)
+        else:
             self._remove(identifier)
-        elif identifier not in self._missing:
-            self._missing[identifier] = MissingEndpoint(record, expires_at_s)
 
-    def retain_endpoints(
-        self, identifiers: Iterable[str], *, expires_at_s: float, now_s: float
-    ) -> None:
-        """Remove, or mark as missing, all endpoints that are not in a complete list.
-
-        ``expires_at_s`` and ``now_s`` are as in ``remove_endpoint``.
-        """
-        retained = set(identifiers)
-        for identifier in [i for i in self.endpoints if i not in retained]:
-            self.remove_endpoint(identifier, expires_at_s=expires_at_s, now_s=now_s)
-
-    def evict_missing(self, now_s: float) -> list[str]:
-        """Remove missing endpoints whose time has passed; return their identifiers."""
-        expired = [i for i, v in self._missing.items() if v.expires_at_s <= now_s]
-        for identifier in expired:
+    def evict_missing(self) -> list[str]:
+        """Remove all missing endpoints; return their identifiers."""
+        evicted = sorted(self._missing)
+        for identifier in evicted:
             self._remove(identifier)
-        self.missing_ends["evicted"] += len(expired)
-        return expired
+        self.missing_ends["evicted"] += len(evicted)
+        return evicted
 
     def _remove(self, identifier: str) -> None:
-        self._missing.pop(identifier, None)
+        self._missing.discard(identifier)
         if self.endpoints.pop(identifier, None) is not None:
             self._on_endpoint_removed(identifier)
--- a/src/shallotroad/gateway/factory.py
+++ b/src/shallotroad/gateway/factory.py
@@ -391,7 +391,6 @@
         asyncio.create_task(_run_with_restarts(run))
         for run in (
             components.store_watcher.run,
-            components.store_watcher.evict_missing_periodically,
             components.admission.dispatch_periodically,
             components.gossip.exchange_periodically,
             components.store_follower.follow_periodically,
--- a/src/shallotroad/gateway/store_watcher.py
+++ b/src/shallotroad/gateway/store_watcher.py
@@ -81,6 +81,9 @@
 # A registration stays in the store for longer than this, as an endpoint that leaves
 # serves on for some seconds, and one that falls silent is missed after as many.
 MIN_REGISTRATION_S = 2.0
+# Endpoints without a registration are removed on news of the store that are at most
+# this much older than the time at which they had to be registered again.
+MAX_EVICTION_NEWS_AGE_S = 0.1
 # How often a gateway that does not read the store checks whether it has to.
 READ_CHECK_INTERVAL_S = 0.1
 
@@ -226,6 +229,7 @@
             self.revision = batch.revision
         if self.revision >= self._known_revision:
             self._behind_since_s = None
+        self._evict_missing()
         self._announce_news()
 
     def _check_for_missed_changes(self, revision: int, read_s: float) -> None:
@@ -408,11 +412,10 @@
         ``_removal_time_s``, or at once if that has passed or the endpoint was
         draining. A malformed registration removes it at once.
         """
-        now_s = self._clock()
         was_missing = self._catalog.is_missing(key.identifier)
         if document.value is None:
             self._catalog.remove_endpoint(
-                key.identifier, expires_at_s=self._removal_time_s(), now_s=now_s
+                key.identifier, may_return=self.removal_delay_s() > 0
             )
             if self._catalog.is_missing(key.identifier) and not was_missing:
                 log_event(
@@ -420,7 +423,7 @@
                     endpoint=key.identifier,
                     revision=document.revision,
                     for_s=round(self.removal_delay_s(), 3),
-                    contact_age_s=round(now_s - self.last_contact_s, 3),
+                    contact_age_s=round(self._clock() - self.last_contact_s, 3),
                 )
             return
         try:
@@ -429,9 +432,7 @@
             logger.bind(endpoint=key.identifier, why=str(error)).warning(
                 "announcement ignored"
             )
-            self._catalog.remove_endpoint(
-                key.identifier, expires_at_s=now_s, now_s=now_s
-            )
+            self._catalog.remove_endpoint(key.identifier, may_return=False)
             return
         self._catalog.put_endpoint(record)
         if was_missing and not self._catalog.is_missing(key.identifier):
@@ -581,11 +582,12 @@
                 self.revision = max(self.revision, batch.revision)
                 self._must_read_once = False
                 self._behind_since_s = None
+                self._evict_missing()
                 self._announce_news()
                 backoff_s = MIN_BACKOFF_S
                 await asyncio.sleep(batch_delay_s)
                 batch_delay_s = min(MAX_BATCH_DELAY_S, 2 * batch_delay_s)
-                if not batch.documents:
+                if not batch.documents or self._catalog.missing_count:
                     batch_delay_s = BATCH_DELAY_S
             except RevisionCompactedError as error:
                 log_event("store history lost", revision=self.revision, why=str(error))
@@ -602,10 +604,19 @@
         present = sum(d.value is not None for d in self._documents.values())
         return present <= MAX_LISTED_DOCUMENTS
 
+    def _wait_ms(self) -> int:
+        """Return how long a watch waits.
+
+        While endpoints have no registration, it ends when they are to be removed.
+        """
+        if not self._catalog.missing_count:
+            return WATCH_WAIT_MS
+        return min(WATCH_WAIT_MS, max(1, math.ceil(1000 * self.removal_delay_s())))
+
     async def _watch(self) -> DocumentBatch:
         """Wait for changes and return them.
 
-        The batch is empty when none came within ``WATCH_WAIT_MS``.
+        The batch is empty when none came within ``_wait_ms``.
 
         Raises
         ------
@@ -616,22 +627,22 @@
         """
         try:
             async with asyncio.timeout(None) as self._watch_timeout:
-                return await self._store.watch(self.revision, wait_ms=WATCH_WAIT_MS)
+                return await self._store.watch(self.revision, wait_ms=self._wait_ms())
         except TimeoutError:
             raise StoreUnavailableError("peers know of a newer revision") from None
         finally:
             self._watch_timeout = None
 
-    async def evict_missing_periodically(self) -> None:
+    def _evict_missing(self) -> None:
         """Remove endpoints that did not register again after an outage.
 
-        Runs until cancelled, and removes nothing while the store can't be reached.
+        That is certain only if the store has been heard from at the end of their time:
+        it may be away again.
         """
-        while True:
-            await asyncio.sleep(BATCH_DELAY_S)
-            if self.connected:
-                for identifier in self._catalog.evict_missing(self._clock()):
-                    log_event("endpoint did not register again", endpoint=identifier)
+        news_s = self.last_contact_s + MAX_EVICTION_NEWS_AGE_S
+        if self.connected and news_s >= self._removal_time_s():
+            for identifier in self._catalog.evict_missing():
+                log_event("endpoint did not register again", endpoint=identifier)
 
     def _record_contact(self, contact_s: float) -> None:
         self.last_contact_s = contact_s
--- a/tests/store_builders.py
+++ b/tests/store_builders.py
@@ -226,11 +226,7 @@
         return restarted
 
     def _start_gateway(self, gateway: StoreGateway) -> None:
-        for run in (
-            gateway.watcher.run,
-            gateway.watcher.evict_missing_periodically,
-            gateway.follower.follow_periodically,
-        ):
+        for run in (gateway.watcher.run, gateway.follower.follow_periodically):
             self._tasks.append(asyncio.create_task(run()))
 
     def _add(self, name: str, propagation_s: float, *, restarted: bool = False) -> None:
--- a/tests/unit/gateway/coordination/test_coordinator_lost.py
+++ b/tests/unit/gateway/coordination/test_coordinator_lost.py
@@ -124,7 +124,7 @@
     clock = gateways[3].admission_fixture.clock
     catalog = gateways[0].admission_fixture.catalog
     for name in list(catalog.endpoints):
-        catalog.remove_endpoint(name, expires_at_s=0.0, now_s=clock())
+        catalog.remove_endpoint(name, may_return=False)
     await gateways[3].placement_client.place(make_gateway_job(now_s=clock()))
     assert running_requests(gateways[3]) == 1  # placed by the gateway itself
     for number in range(6):
--- a/tests/unit/gateway/coordination/test_coordinator_stops.py
+++ b/tests/unit/gateway/coordination/test_coordinator_stops.py
@@ -180,7 +180,7 @@
     for gateway in gateways:
         catalog = gateway.admission_fixture.catalog
         for name in list(catalog.endpoints):
-            catalog.remove_endpoint(name, expires_at_s=0.0, now_s=clock())
+            catalog.remove_endpoint(name, may_return=False)
     with pytest.raises(RefusedError):
         await waiting
     assert clock() < job.end_s
--- a/tests/unit/gateway/test_admission_without_endpoints.py
+++ b/tests/unit/gateway/test_admission_without_endpoints.py
@@ -61,7 +61,7 @@
     queued = submit(admission, "other")
     assert admission.queue_length == 2
     if way == "removed":
-        catalog.remove_endpoint("e1", expires_at_s=0.0, now_s=fixture.clock())
+        catalog.remove_endpoint("e1", may_return=False)
     elif way == "draining":
         catalog.put_endpoint(record._replace(draining=True))
     else:
--- a/tests/unit/gateway/test_store_watcher.py
+++ b/tests/unit/gateway/test_store_watcher.py
@@ -178,7 +178,8 @@
     fixture.store_watcher.apply_list(DocumentBatch(9, []))
     assert set(fixture.catalog.endpoints) == {"e1"}
     fixture.clock.now_s += 2.5
-    fixture.catalog.evict_missing(fixture.clock())
+    fixture.store_watcher._record_contact(fixture.clock())
+    fixture.store_watcher._evict_missing()
     assert not fixture.catalog.endpoints
 
 
--- a/tests/unit/gateway/test_unregistered_endpoints.py
+++ b/tests/unit/gateway/test_unregistered_endpoints.py
@@ -22,12 +22,18 @@
     from collections.abc import AsyncIterator
     from collections.abc import Iterable
 
-# Time in which an endpoint that has left may still get requests.
+# Time in which an endpoint that has left may still get requests, and time after a cut
+# from which a gateway counts as in touch.
 DRAIN_S = 2.0
+CONTACT_S = 3.0
+# Time after the return of the store within which lapsed registrations are back.
+REREGISTRATION_S = 2.0
+SAMPLE_S = 0.02
 # All gateways that have not changed for so long know all that there is.
 SETTLING_S = 6.0
 CUT_S = 4.0
 KEY = "servers/e1"
+MODES = ["unreachable", "silenced", "refused"]
 
 
 class Deployment(NamedTuple):
@@ -37,11 +43,15 @@
     propagation_s: float
 
 
+ALONE = Deployment(1, 2.0)
 ALL_READ = Deployment(6, 2.0)
 TWO_READERS = Deployment(6, 4.0)
 WITH_PEERS = pytest.mark.parametrize(
     "deployment", [ALL_READ, TWO_READERS], ids=["all-read", "two-readers"]
 )
+ALL_DEPLOYMENTS = pytest.mark.parametrize(
+    "deployment", [ALONE, ALL_READ, TWO_READERS], ids=["alone", "all-read", "readers"]
+)
 
 
 @pytest.fixture
@@ -93,6 +103,12 @@
     return [name for name, gateway in centre.gateways.items() if gateway.registry.loads]
 
 
+async def check_served_until(centre: DataCentre, time_s: float) -> None:
+    while now() < time_s:
+        assert users_of(centre) == list(centre.gateways), f"at {now():.2f} s"
+        await asyncio.sleep(SAMPLE_S)
+
+
 # Guards against DRAIN: a gateway that was cut off keeps an endpoint that has left.
 @WITH_PEERS
 @pytest.mark.parametrize("mode", ["unreachable"])
@@ -117,3 +133,90 @@
         centre.store.put(KEY, None)
     await sleep_until(max(now() + DRAIN_S, healed_s + DRAIN_S))
     assert users_of(centre) == []
+
+
+# Guards against LOST: endpoints whose registration lapsed with the store are dropped.
+@ALL_DEPLOYMENTS
+@pytest.mark.parametrize("mode", MODES)
+@pytest.mark.parametrize("away_s", [3.0, 5.3, 9.1])
+async def test_an_endpoint_that_lapsed_in_an_outage_serves_until_it_is_back(
+    centre: DataCentre, mode: str, away_s: float
+) -> None:
+    take_store_away(centre, centre.gateways, mode)
+    await asyncio.sleep(away_s - 0.3)
+    centre.store.put(KEY, None)
+    await asyncio.sleep(0.3)
+    give_store_back(centre)
+    back_s = now() + REREGISTRATION_S
+    await check_served_until(centre, back_s)
+    centre.store.put(KEY, registration(2))
+    await check_served_until(centre, back_s + SETTLING_S)
+
+
+# Guards against LOST: the same for one that lapses when the store is back.
+@ALL_DEPLOYMENTS
+async def test_an_endpoint_that_lapsed_at_the_end_of_an_outage_serves(
+    centre: DataCentre,
+) -> None:
+    take_store_away(centre, centre.gateways, "unreachable")
+    await asyncio.sleep(5.0)
+    give_store_back(centre)
+    back_s = now() + REREGISTRATION_S
+    await check_served_until(centre, now() + 1.2)
+    centre.store.put(KEY, None)
+    await check_served_until(centre, back_s)
+    centre.store.put(KEY, registration(2))
+    await check_served_until(centre, back_s + SETTLING_S)
+
+
+# Guards against LOST: a second outage takes the time to register away.
+@ALL_DEPLOYMENTS
+@pytest.mark.parametrize("between_s", [0.4, 1.2, 1.8])
+async def test_an_endpoint_that_lapsed_before_two_outages_serves(
+    centre: DataCentre, between_s: float
+) -> None:
+    for away_s in (5.0, 4.0):
+        take_store_away(centre, centre.gateways, "unreachable")
+        await asyncio.sleep(away_s - 1.0)
+        centre.store.put(KEY, None)
+        await asyncio.sleep(1.0)
+        give_store_back(centre)
+        back_s = now() + REREGISTRATION_S
+        await check_served_until(centre, now() + between_s)
+    await check_served_until(centre, back_s)
+    centre.store.put(KEY, registration(2))
+    await check_served_until(centre, back_s + SETTLING_S)
+
+
+# Guards against LOST: one gateway's cut hides that the store was away for all.
+@WITH_PEERS
+async def test_an_endpoint_that_lapsed_in_an_outage_within_a_cut_serves(
+    centre: DataCentre,
+) -> None:
+    cut = list(centre.gateways)[-1]
+    take_store_away(centre, [cut], "unreachable")
+    centre.cut_off.add(cut)
+    await asyncio.sleep(1.0)
+    take_store_away(centre, centre.gateways, "unreachable")
+    await asyncio.sleep(CUT_S)
+    centre.store.put(KEY, None)
+    give_store_back(centre)
+    centre.cut_off.clear()
+    back_s = now() + REREGISTRATION_S
+    await check_served_until(centre, back_s)
+    centre.store.put(KEY, registration(2))
+    await check_served_until(centre, back_s + SETTLING_S)
+
+
+# Guards against DRAIN: an endpoint that does not come back is kept on and on.
+@ALL_DEPLOYMENTS
+@pytest.mark.parametrize("mode", MODES)
+async def test_an_endpoint_that_does_not_register_after_an_outage_is_removed(
+    centre: DataCentre, mode: str
+) -> None:
+    take_store_away(centre, centre.gateways, mode)
+    await asyncio.sleep(5.0)
+    centre.store.put(KEY, None)
+    give_store_back(centre)
+    await asyncio.sleep(CONTACT_S + DRAIN_S)
+    assert users_of(centre) == []
