Tell a gateway's own cut from an outage of the store by what peers know

Callers' requests reached an endpoint up to 2.4 s after the store had acknowledged its leaving (DRAIN, bound 2.0 s).

Cause: after any failed call to the store a gateway kept endpoints without a registration for REREGISTRATION_TIMEOUT_S, counted from its own reconnection. That time is for registrations that lapse while the store is away for the endpoints too; a gateway's own cut, a reset, or a refusal of it alone was taken for that. Class: one's own loss of contact taken for an outage of what one watches. The trace: 'endpoint kept without registration' at 18.290 s for 2.2 s, and the late request has 'unregistered' and a store_age_s of 0.49, so the gateway knew of the removal and kept the endpoint on purpose.

Now a gateway keeps the latest span in which the store is known to have been available, to itself or to a peer, and the time counts from its begin. Responses to exchanges carry the span (two times); relayed news carried enough of it already, so their form is unchanged. Spans with a gap in which no registration can lapse are joined. Requests of an exchange may be held up by a cut, so only responses count. A follower that was in touch all the while no longer takes over the time that its reader keeps.

Ruled out: removing at once when unsure drops endpoints in real outages, which the tests of lapsed registrations check at both ends.

--- a/src/shallotroad/gateway/store_watcher.py
+++ b/src/shallotroad/gateway/store_watcher.py
@@ -19,6 +19,8 @@
 
 from loguru import logger
 
+from shallotroad.gateway.store_availability import StoreAvailability
+from shallotroad.gateway.store_availability import StoreContact
 from shallotroad.observability.event_log import log_event
 from shallotroad.platform.documents import CONFIGURATION_KEY
 from shallotroad.platform.documents import ClosureKey
@@ -71,7 +73,7 @@
 RETAINED_REMOVALS = 10_000
 # Time from the end of an outage of the store until endpoints that have not registered
 # again are removed. Endpoints whose registration lapsed register within about two
-# seconds.
+# seconds. An outage of which only this gateway knows is its own.
 REREGISTRATION_TIMEOUT_S = 2.2
 # A configuration that a peer claims to know is awaited for this long. After that, the
 # store has shown it or there is none.
@@ -84,6 +86,8 @@
 # Endpoints without a registration are removed on news of the store that are at most
 # this much older than the time at which they had to be registered again.
 MAX_EVICTION_NEWS_AGE_S = 0.1
+# Longest time for which peers are told that the store has been available.
+MAX_AVAILABLE_S = 3_600.0
 # How often a gateway that does not read the store checks whether it has to.
 READ_CHECK_INTERVAL_S = 0.1
 
@@ -149,7 +153,7 @@
         self._peer_configuration_until_s = -math.inf
         self.connected = False
         self.last_contact_s = 0.0
-        self._reconnected_s = -REREGISTRATION_TIMEOUT_S
+        self._availability = StoreAvailability()
         self._must_read_once = False
         self._list_next = False
         self._news = asyncio.Event()
@@ -201,6 +205,36 @@
             inputs["unregistered"] = True
         return inputs
 
+    @property
+    def contact(self) -> StoreContact | None:
+        """What peers may rely on; None while the store can't be reached."""
+        if not self.connected or self._availability.until_s == -math.inf:
+            return None
+        now_s = self._clock()
+        age_s = min(MAX_AVAILABLE_S, max(0.0, now_s - self.last_contact_s))
+        available_s = min(MAX_AVAILABLE_S, now_s - self._availability.since_s)
+        return StoreContact(age_s, max(age_s, available_s))
+
+    def observe_peer_contact(self, contact: StoreContact, era: int) -> None:
+        """Take over when the store has been available to a peer.
+
+        The contact must be fresh: a message that a cut has held up would claim
+        that the store was available during the cut.
+        """
+        if era != self.era:
+            return
+        now_s = self._clock()
+        before_s = self._availability.since_s
+        self._availability.record(now_s - contact.available_s, now_s - contact.age_s)
+        if self._catalog.missing_count and self._availability.since_s < before_s:
+            log_event(
+                "store was available to a peer",
+                available_s=round(contact.available_s, 2),
+                contact_age_s=round(contact.age_s, 2),
+                missing=self._catalog.missing_count,
+            )
+        self._evict_missing()
+
     def apply_relayed(self, batch: RelayedBatch, *, in_touch: bool) -> None:
         """Apply the news that another gateway has of the store.
 
@@ -212,11 +246,9 @@
         if batch.era != self.era:
             return
         now_s = self._clock()
-        if batch.removal_delay_s:
-            self._reconnected_s = max(
-                self._reconnected_s,
-                now_s + batch.removal_delay_s - REREGISTRATION_TIMEOUT_S,
-            )
+        available_s = max(0.0, REREGISTRATION_TIMEOUT_S - batch.removal_delay_s)
+        if batch.connected and batch.contact_age_s <= available_s:
+            self._availability.record(now_s - available_s, now_s - batch.contact_age_s)
         contact_s = now_s
         if in_touch:
             contact_s = max(self.last_contact_s, now_s - batch.contact_age_s)
@@ -259,10 +291,10 @@
     def _removal_time_s(self) -> float:
         """Return the earliest monotonic time to remove an unregistered endpoint.
 
-        It is ``REREGISTRATION_TIMEOUT_S`` after the store was last reached again. A
-        time in the past means at once.
+        It is ``REREGISTRATION_TIMEOUT_S`` after the store's latest outage. A time in
+        the past means at once.
         """
-        return self._reconnected_s + REREGISTRATION_TIMEOUT_S
+        return self._availability.since_s + REREGISTRATION_TIMEOUT_S
 
     def apply(self, document: Document) -> None:
         """Apply a document unless the same or a newer revision of its key is known.
@@ -337,7 +369,7 @@
         if restored:
             self._complete_s = -math.inf  # Changes that were not seen may be lost.
             self._settles_at_s = self._clock() + RESTORE_SETTLING_S
-            self._reconnected_s = self._clock()
+            self._availability.restart(self._clock())
 
     def _take_era(self, era: int) -> bool:
         """Follow the era that the store states; return whether it is the known one."""
@@ -563,7 +595,7 @@
                     self._list_next = False
                     self._take_era(batch.era)
                     self._check_for_missed_changes(batch.revision, self._clock())
-                    self._record_contact(self._clock())
+                    self._record_read()
                     if settles:
                         self._settles_at_s = math.inf
                     self.apply_list(batch)
@@ -575,7 +607,7 @@
                     )
                 else:
                     batch = await self._watch()
-                    self._record_contact(self._clock())
+                    self._record_read()
                     if not self._take_era(batch.era):
                         continue  # Its revisions do not follow the known one.
                     self._apply_changes(batch.documents)
@@ -644,13 +676,18 @@
             for identifier in self._catalog.evict_missing():
                 log_event("endpoint did not register again", endpoint=identifier)
 
+    def _record_read(self) -> None:
+        """Record that a call to the store has succeeded."""
+        now_s = self._clock()
+        since_s = self.last_contact_s if self.connected else now_s
+        self._availability.record(since_s, now_s)
+        self._record_contact(now_s)
+
     def _record_contact(self, contact_s: float) -> None:
         self.last_contact_s = contact_s
         self._complete_s = contact_s
         if not self.connected:
             self.connected = True
-            if self._documents:
-                self._reconnected_s = self._clock()
             log_event("store reached", revision=self.revision)
 
     def _record_outage(self, error: StoreUnavailableError) -> None:
--- a/tests/unit/gateway/test_gossip.py
+++ b/tests/unit/gateway/test_gossip.py
@@ -16,6 +16,7 @@
 from shallotroad.gateway.gossip import decode_state
 from shallotroad.gateway.gossip import encode_state
 from shallotroad.gateway.membership import Membership
+from shallotroad.gateway.store_availability import StoreContact
 
 
 MAX_BYTES_PER_MEMBER = 40
@@ -90,6 +91,29 @@
     watcher.observe_peer_configuration.assert_called_once_with(-1, 0)
 
 
+# Guards against LOST: a request that a cut has held up claims that the store was there.
+def test_only_the_contact_of_a_response_is_taken() -> None:
+    watcher = MagicMock()
+    body = encode_state({"members": [], "revision": 7, "contact": [0.1, 9.0]})
+    state = make_gossip(watcher)._merge_state(body)
+    assert state["contact"] == StoreContact(0.1, 9.0)
+    watcher.observe_peer_contact.assert_not_called()
+
+
+@pytest.mark.parametrize("contact", [None, StoreContact(0.5, 3600.0)])
+def test_a_state_has_the_contact_only_while_the_store_is_reached(
+    contact: StoreContact | None,
+) -> None:
+    watcher = MagicMock(
+        contact=contact, known_revision=7, era=0, configuration_revision=1
+    )
+    gossip = make_gossip(watcher)
+    gossip._crash_exchange.rows.return_value = []  # type: ignore[attr-defined]
+    gossip._engine_models.rows.return_value = []  # type: ignore[attr-defined]
+    sent = decode_state(gossip._encode_own_state())
+    assert sent.get("contact") == (contact and list(contact))
+
+
 @pytest.mark.parametrize(
     "fields",
     [
@@ -100,13 +124,20 @@
         {"configuration": -2},
         {"configuration": None},
         {"configuration": 2**60},
+        {"contact": [-0.1, 4.0]},
+        {"contact": [4.0, 0.1]},
+        {"contact": [0.1, "inf"]},
+        {"contact": ["nan", 1.0]},
+        {"contact": [0.1]},
+        {"contact": [0.1, 4.0, 4.0]},
+        {"contact": "0.1"},
     ],
 )
-def test_a_state_with_an_odd_era_or_configuration_is_refused(
+def test_a_state_with_an_odd_era_configuration_or_contact_is_refused(
     fields: dict[str, Any],
 ) -> None:
     watcher = MagicMock()
-    with pytest.raises(ValueError, match=r"era|configuration"):
+    with pytest.raises(ValueError, match=r"era|configuration|contact|unpack|convert"):
         make_gossip(watcher)._merge_state(
             encode_state({"members": [], "revision": 7, **fields})
         )
--- a/tests/unit/gateway/test_store_watcher.py
+++ b/tests/unit/gateway/test_store_watcher.py
@@ -174,11 +174,11 @@
 def test_an_endpoint_that_lapsed_in_an_outage_has_time_to_register_again() -> None:
     fixture = WatcherFixture()
     fixture.store_watcher.apply(endpoint("e1", 2))
-    fixture.store_watcher._record_contact(fixture.clock())
+    fixture.store_watcher._record_read()
     fixture.store_watcher.apply_list(DocumentBatch(9, []))
     assert set(fixture.catalog.endpoints) == {"e1"}
     fixture.clock.now_s += 2.5
-    fixture.store_watcher._record_contact(fixture.clock())
+    fixture.store_watcher._record_read()
     fixture.store_watcher._evict_missing()
     assert not fixture.catalog.endpoints
 
--- a/tests/unit/gateway/test_unregistered_endpoints.py
+++ b/tests/unit/gateway/test_unregistered_endpoints.py
@@ -111,9 +111,9 @@
 
 # Guards against DRAIN: a gateway that was cut off keeps an endpoint that has left.
 @WITH_PEERS
-@pytest.mark.parametrize("mode", ["unreachable"])
-@pytest.mark.parametrize("cut_from_peers", [False], ids=["store"])
-@pytest.mark.parametrize("removed_after_s", [0.3, 1.0])
+@pytest.mark.parametrize("mode", MODES)
+@pytest.mark.parametrize("cut_from_peers", [False, True], ids=["store", "all"])
+@pytest.mark.parametrize("removed_after_s", [-2.0, 0.05, 0.3, 0.7, 1.0, 1.4])
 async def test_an_endpoint_that_left_around_a_cut_of_one_gateway_is_not_used(
     centre: DataCentre, mode: str, cut_from_peers: bool, removed_after_s: float
 ) -> None:
@@ -135,6 +135,35 @@
     assert users_of(centre) == []
 
 
+# Guards against DRAIN: a call that fails by itself is taken for an outage.
+@ALL_DEPLOYMENTS
+@pytest.mark.parametrize("removed_after_s", [0.05, 0.3, 1.0])
+async def test_an_endpoint_that_leaves_after_a_reset_is_not_used(
+    centre: DataCentre, removed_after_s: float
+) -> None:
+    take_store_away(centre, centre.gateways, "refused")
+    await asyncio.sleep(SAMPLE_S)
+    centre.store.put("servers/e2", None)
+    give_store_back(centre)
+    await asyncio.sleep(removed_after_s)
+    centre.store.put(KEY, None)
+    await asyncio.sleep(DRAIN_S)
+    assert users_of(centre) == []
+
+
+# Guards against DRAIN: a process takes its own start for the return of the store.
+@ALL_DEPLOYMENTS
+async def test_an_endpoint_that_leaves_after_a_start_is_not_used(
+    centre: DataCentre,
+) -> None:
+    name = centre.restart("g0")
+    await asyncio.sleep(0.3)
+    assert name in users_of(centre)
+    centre.store.put(KEY, None)
+    await asyncio.sleep(DRAIN_S)
+    assert users_of(centre) == []
+
+
 # Guards against LOST: endpoints whose registration lapsed with the store are dropped.
 @ALL_DEPLOYMENTS
 @pytest.mark.parametrize("mode", MODES)
