Pass on when the store returned also from gateways that can't reach it

An endpoint whose registration had lapsed was dropped at once by a gateway that learnt of it from a peer which itself had it from a third: that peer was not in contact with the store, so its time was not taken over.

The span is true whoever tells it, so every gateway passes it on, and relayed news count also from a peer that is not in contact while it still keeps endpoints. test_a_peer_that_cannot_reach_the_store_passes_on_when_it_returned fails without it.

--- a/src/shallotroad/gateway/gossip.py
+++ b/src/shallotroad/gateway/gossip.py
@@ -15,7 +15,7 @@
 import orjson
 from loguru import logger
 
-from shallotroad.gateway.store_availability import StoreContact
+from shallotroad.gateway.store_availability import AvailabilityAges
 from shallotroad.http_server.exceptions import BodyTooLargeError
 from shallotroad.http_server.message import Response
 from shallotroad.observability.event_log import log_event
@@ -53,8 +53,8 @@
     newest store revision that the gateway knows, ``crashes``, the rows of
     ``CrashExchange.rows``, ``engines``, those of ``EngineModels.rows`` unless there are
     none, ``era``, that of the store, ``configuration``, the revision of its
-    configuration, and ``contact``, its ``StoreContact`` unless it can't reach the
-    store. Gateways of earlier versions do not send the last five.
+    configuration, and ``available``, the ``AvailabilityAges`` of the store unless
+    there are none. Gateways of earlier versions do not send the last five.
     """
     return zlib.compress(orjson.dumps(state), COMPRESSION_LEVEL)
 
@@ -128,8 +128,8 @@
         }
         if engines := self._engine_models.rows():
             state["engines"] = engines
-        if (contact := self._store_watcher.contact) is not None:
-            state["contact"] = [round(time_s, 3) for time_s in contact]
+        if (ages := self._store_watcher.availability) is not None:
+            state["available"] = [round(age_s, 3) for age_s in ages]
         return encode_state(state)
 
     def _merge_state(self, body: bytes) -> dict[str, Any]:
@@ -149,8 +149,8 @@
         configuration = state.get("configuration", -1)
         if not (isinstance(configuration, int) and -1 <= configuration <= MAX_NUMBER):
             raise ValueError(f"configuration {configuration!r} is not a revision")
-        if state.get("contact") is not None:
-            state["contact"] = StoreContact.from_row(state["contact"])
+        if state.get("available") is not None:
+            state["available"] = AvailabilityAges.from_row(state["available"])
         now_s = self._clock()
         for name in self._membership.merge(state["members"], now_s):
             log_event("peer found", peer=name)
@@ -202,8 +202,10 @@
             )
             state = self._merge_state(result.body)
             # A request may have been held up by a cut, a response only for the timeout.
-            if state.get("contact") is not None:
-                self._store_watcher.observe_peer_contact(state["contact"], state["era"])
+            if state.get("available") is not None:
+                self._store_watcher.observe_peer_availability(
+                    state["available"], state["era"]
+                )
             self._fetch_if_behind(state, address)
         except CallFailedError as error:
             logger.bind(peer=address, why=str(error)).debug("peer not reached")
--- a/src/shallotroad/gateway/store_availability.py
+++ b/src/shallotroad/gateway/store_availability.py
@@ -21,36 +21,37 @@
 # No registration lapses in a shorter outage: an endpoint has to miss three heartbeats,
 # of which the first may be due when the outage begins.
 MIN_LAPSE_OUTAGE_S = 2.0
+# Longest age that peers are told.
+MAX_AGE_S = 3_600.0
 
 
-class StoreContact(NamedTuple):
-    """What a gateway knows of the availability of the store, as peers are told.
+class AvailabilityAges(NamedTuple):
+    """A span in which the store was available, as peers are told of it.
 
     Parameters
     ----------
-    age_s : float
-        Time since the store was last heard from.
-    available_s : float
-        Time since which the store has been available, with no outage in which
-        registrations can lapse.
+    until_age_s : float
+        Time since the end of the span.
+    since_age_s : float
+        Time since its begin.
     """
 
-    age_s: float
-    available_s: float
+    until_age_s: float
+    since_age_s: float
 
     @classmethod
-    def from_row(cls, row: Sequence[Any]) -> StoreContact:
-        """Return the contact of the two fields that a peer sent.
+    def from_row(cls, row: Sequence[Any]) -> AvailabilityAges:
+        """Return the ages of the two fields that a peer sent.
 
         Raises
         ------
         TypeError, ValueError
             When they are not two times, the first of which is the shorter one.
         """
-        age_s, available_s = row
-        if not 0 <= float(age_s) <= float(available_s) < math.inf:
-            raise ValueError(f"store contact {age_s!r}, {available_s!r}")
-        return cls(float(age_s), float(available_s))
+        until_age_s, since_age_s = row
+        if not 0 <= float(until_age_s) <= float(since_age_s) < math.inf:
+            raise ValueError(f"store availability {until_age_s!r}, {since_age_s!r}")
+        return cls(float(until_age_s), float(since_age_s))
 
 
 class StoreAvailability:
@@ -81,6 +82,17 @@
             self.until_s = max(self.until_s, until_s)
         return True
 
+    def ages(self, now_s: float) -> AvailabilityAges | None:
+        """Return the span as ages; None before the store was first available.
+
+        They are at most ``MAX_AGE_S``.
+        """
+        if self.until_s == -math.inf:
+            return None
+        until_age_s = min(MAX_AGE_S, max(0.0, now_s - self.until_s))
+        since_age_s = min(MAX_AGE_S, now_s - self.since_s)
+        return AvailabilityAges(until_age_s, max(until_age_s, since_age_s))
+
     def restart(self, now_s: float) -> None:
         """Begin a new span: the store has lost what it knew before."""
         self.since_s = self.until_s = now_s
--- a/src/shallotroad/gateway/store_watcher.py
+++ b/src/shallotroad/gateway/store_watcher.py
@@ -20,7 +20,6 @@
 from loguru import logger
 
 from shallotroad.gateway.store_availability import StoreAvailability
-from shallotroad.gateway.store_availability import StoreContact
 from shallotroad.observability.event_log import log_event
 from shallotroad.platform.documents import CONFIGURATION_KEY
 from shallotroad.platform.documents import ClosureKey
@@ -40,6 +39,7 @@
     from collections.abc import Callable
 
     from shallotroad.catalog.catalog import Catalog
+    from shallotroad.gateway.store_availability import AvailabilityAges
     from shallotroad.gateway.store_relay import RelayedBatch
     from shallotroad.platform.store import DocumentBatch
     from shallotroad.platform.store import StoreClient
@@ -86,8 +86,6 @@
 # Endpoints without a registration are removed on news of the store that are at most
 # this much older than the time at which they had to be registered again.
 MAX_EVICTION_NEWS_AGE_S = 0.1
-# Longest time for which peers are told that the store has been available.
-MAX_AVAILABLE_S = 3_600.0
 # How often a gateway that does not read the store checks whether it has to.
 READ_CHECK_INTERVAL_S = 0.1
 
@@ -206,31 +204,26 @@
         return inputs
 
     @property
-    def contact(self) -> StoreContact | None:
-        """What peers may rely on; None while the store can't be reached."""
-        if not self.connected or self._availability.until_s == -math.inf:
-            return None
-        now_s = self._clock()
-        age_s = min(MAX_AVAILABLE_S, max(0.0, now_s - self.last_contact_s))
-        available_s = min(MAX_AVAILABLE_S, now_s - self._availability.since_s)
-        return StoreContact(age_s, max(age_s, available_s))
+    def availability(self) -> AvailabilityAges | None:
+        """When the store was available; None before it first was."""
+        return self._availability.ages(self._clock())
 
-    def observe_peer_contact(self, contact: StoreContact, era: int) -> None:
+    def observe_peer_availability(self, ages: AvailabilityAges, era: int) -> None:
         """Take over when the store has been available to a peer.
 
-        The contact must be fresh: a message that a cut has held up would claim
-        that the store was available during the cut.
+        The message must be fresh: one that a cut has held up would claim that the store
+        was available during the cut.
         """
         if era != self.era:
             return
         now_s = self._clock()
         before_s = self._availability.since_s
-        self._availability.record(now_s - contact.available_s, now_s - contact.age_s)
+        self._availability.record(now_s - ages.since_age_s, now_s - ages.until_age_s)
         if self._catalog.missing_count and self._availability.since_s < before_s:
             log_event(
                 "store was available to a peer",
-                available_s=round(contact.available_s, 2),
-                contact_age_s=round(contact.age_s, 2),
+                since_age_s=round(ages.since_age_s, 2),
+                until_age_s=round(ages.until_age_s, 2),
                 missing=self._catalog.missing_count,
             )
         self._evict_missing()
@@ -246,9 +239,11 @@
         if batch.era != self.era:
             return
         now_s = self._clock()
-        available_s = max(0.0, REREGISTRATION_TIMEOUT_S - batch.removal_delay_s)
-        if batch.connected and batch.contact_age_s <= available_s:
-            self._availability.record(now_s - available_s, now_s - batch.contact_age_s)
+        since_age_s = max(0.0, REREGISTRATION_TIMEOUT_S - batch.removal_delay_s)
+        until_age_s = min(since_age_s, batch.contact_age_s)
+        in_contact = batch.connected and batch.contact_age_s <= since_age_s
+        if in_contact or batch.removal_delay_s:
+            self._availability.record(now_s - since_age_s, now_s - until_age_s)
         contact_s = now_s
         if in_touch:
             contact_s = max(self.last_contact_s, now_s - batch.contact_age_s)
--- a/tests/store_builders.py
+++ b/tests/store_builders.py
@@ -304,8 +304,10 @@
                 continue
             revision, era = peer.watcher.known_revision, peer.watcher.era
             gateway.watcher.observe_peer_revision(revision, era)
-            if peer.watcher.contact is not None:
-                gateway.watcher.observe_peer_contact(peer.watcher.contact, era)
+            if peer.watcher.availability is not None:
+                gateway.watcher.observe_peer_availability(
+                    peer.watcher.availability, era
+                )
             if gateway.watcher.should_fetch(revision, era):
                 await gateway.follower.fetch_from(peer.membership.address)
 
--- a/tests/unit/gateway/test_gossip.py
+++ b/tests/unit/gateway/test_gossip.py
@@ -16,7 +16,7 @@
 from shallotroad.gateway.gossip import decode_state
 from shallotroad.gateway.gossip import encode_state
 from shallotroad.gateway.membership import Membership
-from shallotroad.gateway.store_availability import StoreContact
+from shallotroad.gateway.store_availability import AvailabilityAges
 
 
 MAX_BYTES_PER_MEMBER = 40
@@ -92,26 +92,26 @@
 
 
 # Guards against LOST: a request that a cut has held up claims that the store was there.
-def test_only_the_contact_of_a_response_is_taken() -> None:
+def test_only_the_availability_in_a_response_is_taken() -> None:
     watcher = MagicMock()
-    body = encode_state({"members": [], "revision": 7, "contact": [0.1, 9.0]})
+    body = encode_state({"members": [], "revision": 7, "available": [0.1, 9.0]})
     state = make_gossip(watcher)._merge_state(body)
-    assert state["contact"] == StoreContact(0.1, 9.0)
-    watcher.observe_peer_contact.assert_not_called()
+    assert state["available"] == AvailabilityAges(0.1, 9.0)
+    watcher.observe_peer_availability.assert_not_called()
 
 
-@pytest.mark.parametrize("contact", [None, StoreContact(0.5, 3600.0)])
-def test_a_state_has_the_contact_only_while_the_store_is_reached(
-    contact: StoreContact | None,
+@pytest.mark.parametrize("ages", [None, AvailabilityAges(0.5, 3600.0)])
+def test_a_state_has_the_availability_of_the_store_if_it_is_known(
+    ages: AvailabilityAges | None,
 ) -> None:
     watcher = MagicMock(
-        contact=contact, known_revision=7, era=0, configuration_revision=1
+        availability=ages, known_revision=7, era=0, configuration_revision=1
     )
     gossip = make_gossip(watcher)
     gossip._crash_exchange.rows.return_value = []  # type: ignore[attr-defined]
     gossip._engine_models.rows.return_value = []  # type: ignore[attr-defined]
     sent = decode_state(gossip._encode_own_state())
-    assert sent.get("contact") == (contact and list(contact))
+    assert sent.get("available") == (ages and list(ages))
 
 
 @pytest.mark.parametrize(
@@ -124,20 +124,22 @@
         {"configuration": -2},
         {"configuration": None},
         {"configuration": 2**60},
-        {"contact": [-0.1, 4.0]},
-        {"contact": [4.0, 0.1]},
-        {"contact": [0.1, "inf"]},
-        {"contact": ["nan", 1.0]},
-        {"contact": [0.1]},
-        {"contact": [0.1, 4.0, 4.0]},
-        {"contact": "0.1"},
+        {"available": [-0.1, 4.0]},
+        {"available": [4.0, 0.1]},
+        {"available": [0.1, "inf"]},
+        {"available": ["nan", 1.0]},
+        {"available": [0.1]},
+        {"available": [0.1, 4.0, 4.0]},
+        {"available": "0.1"},
     ],
 )
-def test_a_state_with_an_odd_era_configuration_or_contact_is_refused(
+def test_a_state_with_an_odd_era_configuration_or_availability_is_refused(
     fields: dict[str, Any],
 ) -> None:
     watcher = MagicMock()
-    with pytest.raises(ValueError, match=r"era|configuration|contact|unpack|convert"):
+    with pytest.raises(
+        ValueError, match=r"era|configuration|availability|unpack|convert"
+    ):
         make_gossip(watcher)._merge_state(
             encode_state({"members": [], "revision": 7, **fields})
         )
--- a/tests/unit/gateway/test_store_availability.py
+++ b/tests/unit/gateway/test_store_availability.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-import math
-
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from shallotroad.gateway.store_availability import MAX_AGE_S
 from shallotroad.gateway.store_availability import MIN_LAPSE_OUTAGE_S
+from shallotroad.gateway.store_availability import AvailabilityAges
 from shallotroad.gateway.store_availability import StoreAvailability
 from shallotroad.gateway.store_relay import RelayedBatch
-from shallotroad.gateway.store_watcher import MAX_AVAILABLE_S
 from shallotroad.gateway.store_watcher import REREGISTRATION_TIMEOUT_S
 from tests.unit.gateway.test_store_watcher import WatcherFixture
 from tests.unit.gateway.test_store_watcher import endpoint
@@ -96,26 +95,37 @@
     assert watcher.removal_delay_s() == 0
 
 
-def test_peers_are_told_of_no_contact_before_the_first_read() -> None:
+def test_peers_are_told_of_nothing_before_the_first_read() -> None:
     fixture = WatcherFixture()
-    assert fixture.store_watcher.contact is None
-    fixture.clock.now_s = 10 * MAX_AVAILABLE_S
+    assert fixture.store_watcher.availability is None
+    fixture.clock.now_s = 10 * MAX_AGE_S
     fixture.store_watcher._record_read()
-    fixture.clock.now_s += 2 * MAX_AVAILABLE_S
-    contact = fixture.store_watcher.contact
-    assert contact is not None
-    assert contact.age_s <= contact.available_s == MAX_AVAILABLE_S
+    fixture.clock.now_s += 2 * MAX_AGE_S
+    ages = fixture.store_watcher.availability
+    assert ages is not None
+    assert ages.until_age_s <= ages.since_age_s == MAX_AGE_S
+
+
+# Guards against LOST: what a peer still keeps, which has it from others, is dropped.
+def test_a_peer_that_cannot_reach_the_store_passes_on_when_it_returned() -> None:
+    fixture = WatcherFixture()
+    watcher = fixture.store_watcher
+    watcher.apply(endpoint("e1", 2))
+    watcher._record_read()
+    fixture.clock.now_s += 9.0
+    removal = endpoint("e1", 3)._replace(value=None)
+    batch = RelayedBatch(3, False, 9.0, 1.9, 0, [removal])
+    watcher.apply_relayed(batch, in_touch=False)
+    assert set(fixture.catalog.endpoints) == {"e1"}
 
 
-def test_the_contact_of_another_era_tells_nothing() -> None:
+def test_the_availability_in_another_era_tells_nothing() -> None:
     fixture = WatcherFixture()
     fixture.clock.now_s = 100.0
     watcher = fixture.store_watcher
     watcher._record_read()
     delay_s = watcher.removal_delay_s()
-    contact = watcher.contact
-    assert contact is not None
-    watcher.observe_peer_contact(contact._replace(available_s=50.0), era=3)
+    watcher.observe_peer_availability(AvailabilityAges(0.0, 50.0), era=3)
     assert watcher.removal_delay_s() == delay_s > 0
-    watcher.observe_peer_contact(contact._replace(available_s=math.pi), era=0)
+    watcher.observe_peer_availability(AvailabilityAges(0.0, 3.0), era=0)
     assert watcher.removal_delay_s() == 0
