Notice within 0.7 s that the store is back

A gateway that no peer can tell anything (alone, or cut off from all) still sent to an endpoint more than two seconds after it had left, when it counted as in touch again: 3.0 s after its cut.

Cause: its time to keep unregistered endpoints counts from when it notices that the store is back, up to 1.5 s late: calls that hang for 0.5 s with a pause of 1.0 s between them. Calls now begin at most 0.7 s apart, also after one that failed at once, so 0.7 s and the 2.2 s end before the 3.0 s. The span of availability begins with the first response, not with the end of a long list.

Weighed: a shorter pause after refusals costs calls, which are priced and limited; 900 gateways that are all refused make 1,300 calls a second of the 2,000.

A store that lets a lone gateway's calls hang for 1.2 s each is noticed up to 1.3 s late, as before.

--- a/src/shallotroad/gateway/store_watcher.py
+++ b/src/shallotroad/gateway/store_watcher.py
@@ -66,8 +66,11 @@
 PEER_FETCH_CONTACT_AGE_S = 1.3
 # The delay doubles up to this value while changes come in quick succession.
 MAX_BATCH_DELAY_S = 0.6
+# Time from the begin of a failed call to that of the next one. It doubles up to the
+# highest value, which keeps the return of the store from being noticed late: the time
+# until unregistered endpoints are removed counts from then.
 MIN_BACKOFF_S = 0.1
-MAX_BACKOFF_S = 1.0
+MAX_BACKOFF_S = 0.7
 # Removals are kept so that no peer can bring a removed document back. Once more than
 # twice this number of documents are known, only this many removals stay, the newest.
 RETAINED_REMOVALS = 10_000
@@ -152,6 +155,8 @@
         self.connected = False
         self.last_contact_s = 0.0
         self._availability = StoreAvailability()
+        # Time of the first response since which no call to the store has failed.
+        self._responding_since_s: float | None = None
         self._must_read_once = False
         self._list_next = False
         self._news = asyncio.Event()
@@ -365,6 +370,7 @@
             self._complete_s = -math.inf  # Changes that were not seen may be lost.
             self._settles_at_s = self._clock() + RESTORE_SETTLING_S
             self._availability.restart(self._clock())
+            self._responding_since_s = None
 
     def _take_era(self, era: int) -> bool:
         """Follow the era that the store states; return whether it is the known one."""
@@ -478,6 +484,7 @@
         """
         if documents:
             self._take_era(documents[0].era)
+        self._record_availability()
         known_revision = self._known_revision
         for document in documents:
             self.apply(document)
@@ -581,11 +588,12 @@
                 settles or self._must_read_once or self.reads_store()
             ):
                 self._list_next = True
+                self._responding_since_s = None
                 await asyncio.sleep(READ_CHECK_INTERVAL_S)
                 continue
+            started_s = self._clock()
             try:
                 if settles or self.revision < 0 or self._should_list():
-                    started_s = self._clock()
                     batch = await self._store.list_documents(self._apply_page)
                     self._list_next = False
                     self._take_era(batch.era)
@@ -622,7 +630,8 @@
             except StoreUnavailableError as error:
                 self._record_outage(error)
                 self._list_next = True
-                await asyncio.sleep(backoff_s)
+                elapsed_s = self._clock() - started_s
+                await asyncio.sleep(max(MIN_BACKOFF_S, backoff_s - elapsed_s))
                 backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
 
     def _should_list(self) -> bool:
@@ -671,12 +680,20 @@
             for identifier in self._catalog.evict_missing():
                 log_event("endpoint did not register again", endpoint=identifier)
 
+    def _record_availability(self) -> None:
+        """Record that the store has responded.
+
+        It has been available since its first response after the latest failed call.
+        """
+        now_s = self._clock()
+        if self._responding_since_s is None:
+            self._responding_since_s = now_s
+        self._availability.record(self._responding_since_s, now_s)
+
     def _record_read(self) -> None:
         """Record that a call to the store has succeeded."""
-        now_s = self._clock()
-        since_s = self.last_contact_s if self.connected else now_s
-        self._availability.record(since_s, now_s)
-        self._record_contact(now_s)
+        self._record_availability()
+        self._record_contact(self._clock())
 
     def _record_contact(self, contact_s: float) -> None:
         self.last_contact_s = contact_s
@@ -687,6 +704,7 @@
 
     def _record_outage(self, error: StoreUnavailableError) -> None:
         self._refuted_era = 0
+        self._responding_since_s = None
         if self.connected:
             self.connected = False
             log_event("store lost", revision=self.revision, why=str(error))
--- a/tests/unit/gateway/test_unregistered_endpoints.py
+++ b/tests/unit/gateway/test_unregistered_endpoints.py
@@ -135,6 +135,25 @@
     assert users_of(centre) == []
 
 
+# Guards against DRAIN: the same at a gateway that no other one can tell anything.
+@pytest.mark.parametrize("deployment", [ALONE], ids=["alone"])
+@pytest.mark.parametrize("mode", ["unreachable", "refused"])
+@pytest.mark.parametrize("begin_s", [0.0, 0.3, 0.6, 0.9])
+@pytest.mark.parametrize("removed_after_s", [0.05, 0.5, 1.0, 1.4])
+async def test_an_endpoint_that_left_after_a_cut_of_the_only_gateway_is_not_used(
+    centre: DataCentre, mode: str, begin_s: float, removed_after_s: float
+) -> None:
+    await asyncio.sleep(begin_s)
+    take_store_away(centre, centre.gateways, mode)
+    await asyncio.sleep(CUT_S)
+    give_store_back(centre)
+    healed_s = now()
+    await asyncio.sleep(removed_after_s)
+    centre.store.put(KEY, None)
+    await sleep_until(max(now() + DRAIN_S, healed_s + CONTACT_S))
+    assert users_of(centre) == []
+
+
 # Guards against DRAIN: a call that fails by itself is taken for an outage.
 @ALL_DEPLOYMENTS
 @pytest.mark.parametrize("removed_after_s", [0.05, 0.3, 1.0])
