Check that an endpoint still takes requests after a connection was opened

A request could be sent to an endpoint that had left while the connection to it was opened, up to 0.4 s after the gateway knew (DRAIN).

Cause: the check stood before the wait for a connection only. It is made again before the first byte; the request has not run then and goes elsewhere. It also finds an endpoint that has registered at another address meanwhile.

test_no_request_is_sent_to_an_endpoint_that_leaves_meanwhile failed before in both variants.

--- a/src/shallotroad/gateway/forwarder.py
+++ b/src/shallotroad/gateway/forwarder.py
@@ -52,6 +52,7 @@
     from shallotroad.policy.endpoint_load import EndpointLoad
     from shallotroad.policy.placement import Placement
     from shallotroad.upstream.connection import EndpointConnection
+    from shallotroad.upstream.pool import ConnectionPool
 
 # An attempt may last until this long after the job's end time (Job.end_s), because a
 # response that is slightly late is still worth sending.
@@ -466,8 +467,7 @@
         try:
             if pool is None:
                 raise NotRunError("endpoint is no longer registered", sent=False)
-            if not self._endpoint_registry.takes_requests(identifier):
-                raise NotRunError("endpoint leaves or wants no requests", sent=False)
+            self._check_takes_requests(identifier, pool)
             max_idle_s = (
                 REPEATABLE_MAX_IDLE_S
                 if job.route.repeatable
@@ -477,6 +477,7 @@
                 connection = await pool.acquire(
                     max_idle_s=max_idle_s, request_id=job.request.request_id
                 )
+                self._check_takes_requests(identifier, pool)
                 self._check_same_software(job, load, progress.record)
                 await connection.send(
                     job.request.request_id,
@@ -540,6 +541,21 @@
                 update_slowness=first_attempt and job.service.engine is not None
             )
 
+    def _check_takes_requests(self, identifier: str, pool: ConnectionPool) -> None:
+        """Check that an endpoint still takes requests, over connections of a pool.
+
+        That may change while a connection is opened.
+
+        Raises
+        ------
+        NotRunError
+            When it does not, or has registered at another address.
+        """
+        if self._endpoint_registry.pool(identifier) is not pool:
+            raise NotRunError("endpoint is no longer registered", sent=False)
+        if not self._endpoint_registry.takes_requests(identifier):
+            raise NotRunError("endpoint leaves or wants no requests", sent=False)
+
     def _check_same_software(
         self, job: Job, load: EndpointLoad, record: EndpointRecord
     ) -> None:
--- a/tests/unit/gateway/test_faults_of_attempts.py
+++ b/tests/unit/gateway/test_faults_of_attempts.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
+from typing import cast
 from unittest.mock import MagicMock
 
 import pytest
@@ -96,8 +97,10 @@
         self._sent = sent
         self._head = head
         self._cause = cause
+        self.on_acquire: Callable[[], None] = lambda: None
 
     async def acquire(self, **_: Any) -> FakeConnection:
+        self.on_acquire()
         if self._cause is not None:
             raise ConnectError("no connection") from self._cause
         return FakeConnection(self._head, self._sent)
@@ -126,7 +129,8 @@
     registry = gateway.admission_fixture.endpoint_registry
     sent: list[str] = []
     faults: list[Fault] = []
-    registry.pool = lambda _: FakePool(sent, head, cause)  # type: ignore
+    pool = FakePool(sent, head, cause)
+    registry.pool = lambda name: pool if name in registry.loads else None  # type: ignore
     record_end = gateway.placement_client.record_end
 
     def note_end(placement: Any, **fields: Any) -> None:
@@ -159,6 +163,33 @@
     return make_gateway_job(now_s=fixture.gateway.admission_fixture.clock())
 
 
+# Guards against DRAIN: an endpoint leaves while a connection to it is opened.
+@pytest.mark.parametrize("change", ["gone", "draining"])
+async def test_no_request_is_sent_to_an_endpoint_that_leaves_meanwhile(
+    change: str,
+) -> None:
+    fixture = make_forwarder()
+    registry = fixture.gateway.admission_fixture.endpoint_registry
+    job = make_once_job(fixture)
+    left: list[str] = []
+
+    def leave() -> None:
+        identifier = job.attempts[-1]
+        left.append(identifier)
+        if change == "gone":
+            registry.remove(identifier)
+        else:
+            record = registry.loads[identifier].record
+            registry.put(record._replace(draining=True))
+
+    pool = registry.pool(next(iter(registry.loads)))
+    cast("FakePool", pool).on_acquire = leave
+    with pytest.raises(RefusedError):
+        await fixture.run(job)
+    assert left
+    assert fixture.sent == []
+
+
 # Guards against a request that may run only once and is sent twice.
 async def test_a_request_that_may_run_once_is_sent_once() -> None:
     fixture = make_forwarder()
