--- a/src/shallotroad/gateway/store_availability.py
+++ b/src/shallotroad/gateway/store_availability.py
@@ -67,20 +67,19 @@
         self.since_s = -math.inf
         self.until_s = -math.inf
 
-    def record(self, since_s: float, until_s: float) -> bool:
-        """Take over a span in which the store was available; return whether it counts.
+    def record(self, since_s: float, until_s: float) -> None:
+        """Take over a span in which the store was available.
 
         It extends the known one if the time between them is shorter than
         ``MIN_LAPSE_OUTAGE_S``. Otherwise the later one is kept.
         """
         if until_s < self.since_s - MIN_LAPSE_OUTAGE_S:
-            return False
+            return
         if since_s > self.until_s + MIN_LAPSE_OUTAGE_S:
             self.since_s, self.until_s = since_s, until_s
         else:
             self.since_s = min(self.since_s, since_s)
             self.until_s = max(self.until_s, until_s)
-        return True
 
     def ages(self, now_s: float) -> AvailabilityAges | None:
         """Return the span as ages; None before the store was first available.
