--- a/tests/unit/gateway/test_unregistered_endpoints.py
+++ b/tests/unit/gateway/test_unregistered_endpoints.py
@@ -13,6 +13,8 @@
 
 import pytest
 
+from shallotroad.gateway import store_watcher
+from shallotroad.gateway.store_watcher import StoreWatcher
 from tests.store_builders import DataCentre
 from tests.store_builders import registration
 from tests.virtual_time import VirtualTimePolicy
@@ -268,3 +270,36 @@
     give_store_back(centre)
     await asyncio.sleep(CONTACT_S + DRAIN_S)
     assert users_of(centre) == []
+
+
+# Guards against a check that holds without the mechanism: the word of peers is ignored.
+@pytest.mark.parametrize("deployment", [ALL_READ], ids=["all-read"])
+async def test_without_the_word_of_peers_a_cut_looks_like_an_outage(
+    centre: DataCentre, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(StoreWatcher, "observe_peer_availability", lambda *_: None)
+    monkeypatch.setattr(StoreWatcher, "should_fetch", lambda *_: False)
+    cut = "g0"
+    take_store_away(centre, [cut], "unreachable")
+    centre.cut_off.add(cut)
+    await asyncio.sleep(CUT_S)
+    give_store_back(centre)
+    centre.cut_off.clear()
+    await asyncio.sleep(SAMPLE_S)
+    centre.store.put(KEY, None)
+    await asyncio.sleep(DRAIN_S)
+    assert users_of(centre) == [cut]
+
+
+# Guards against a check that holds without the mechanism: nothing waits for endpoints.
+@pytest.mark.parametrize("deployment", [ALL_READ], ids=["all-read"])
+async def test_without_time_to_register_an_outage_drops_an_endpoint(
+    centre: DataCentre, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(store_watcher, "REREGISTRATION_TIMEOUT_S", 0.0)
+    take_store_away(centre, centre.gateways, "unreachable")
+    await asyncio.sleep(5.0)
+    centre.store.put(KEY, None)
+    give_store_back(centre)
+    await asyncio.sleep(REREGISTRATION_S)
+    assert users_of(centre) == []
