--- a/src/shallotroad/gateway/store_watcher.py
+++ b/src/shallotroad/gateway/store_watcher.py
@@ -76,7 +76,7 @@
 RETAINED_REMOVALS = 10_000
 # Time from the end of an outage of the store until endpoints that have not registered
 # again are removed. Endpoints whose registration lapsed register within about two
-# seconds. An outage of which only this gateway knows is its own.
+# seconds. Time in which the store was available to a peer is no outage.
 REREGISTRATION_TIMEOUT_S = 2.2
 # A configuration that a peer claims to know is awaited for this long. After that, the
 # store has shown it or there is none.
@@ -244,6 +244,7 @@
         if batch.era != self.era:
             return
         now_s = self._clock()
+        # At least so long ago, the span began in which the store is available.
         since_age_s = max(0.0, REREGISTRATION_TIMEOUT_S - batch.removal_delay_s)
         until_age_s = min(since_age_s, batch.contact_age_s)
         in_contact = batch.connected and batch.contact_age_s <= since_age_s
